--- /dev/null
+++ b/src/bin/yuccareel.rs
@@ -0,0 +1,3 @@
+//! Command-line tool for operators.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/yuccareeld.rs
@@ -0,0 +1,3 @@
+//! Entry instance of yuccareel.
+
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! yuccareel, a model-aware router for versions and cascades.
+//!
+//! Decision modules are pure: they take tables, a clock value and a random
+//! source and return actions. Modules at the process edge own sockets and call
+//! them. `docs/design.md` maps every module to its job.
+
+pub mod config_change;
+pub mod config_snapshot;
+pub mod error_body;
+pub mod ids;
+pub mod instance_list;
+pub mod kv_client;
+pub mod kv_store;
+pub mod records;
+pub mod refusal_reason;
+pub mod rendezvous;
+pub mod replica_table;
+pub mod retry_reason;
+pub mod standins;
--- /dev/null
+++ b/src/standins/mod.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for the platform, with switches for its faults.
+//!
+//! They serve tests and examples only; the daemon never uses them.
+
+pub mod kv;
+pub mod kv_http;
+pub mod kv_table;
+pub mod server;
