Add engine client and stand-ins for engines, services and the instance list

Cause: the request path needs an engine that streams, goes cold, goes silent, truncates and crosses answers before the decisions can be exercised.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod config_change;
 pub mod config_snapshot;
+pub mod engine_client;
 pub mod error_body;
 pub mod ids;
 pub mod instance_list;
--- /dev/null
+++ b/src/standins/engine.rs
@@ -0,0 +1,355 @@
+//! Model engine stand-in with its fault switches.
+//!
+//! It speaks the chat-completions API as a stream, reports load, and keeps what
+//! it received, so that tests can check promises by what engines saw.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use parking_lot::Mutex;
+use salvo::prelude::{Depot, Request, Response, Router, StatusCode, handler};
+use serde_json::{Value, json};
+
+use crate::standins::difficulty;
+
+/// What the engine is and how fast it answers.
+#[derive(Clone, Debug)]
+pub struct EngineOptions {
+    /// Replica name.
+    pub name: String,
+    /// Model that is loaded.
+    pub model: String,
+    /// Version that is loaded.
+    pub version: String,
+    /// Difficulty below which an answer is good, 0 to 1.
+    pub skill: f64,
+    /// Time between tokens.
+    pub token_time: Duration,
+    /// Tokens of an answer without `max_tokens`.
+    pub answer_tokens: u64,
+    /// Requests at once when cold; more are refused with `warming`.
+    pub cold_concurrency: u32,
+    /// Requests at once when warm.
+    pub warm_concurrency: u32,
+    /// Answers after which the engine is warm.
+    pub warm_after: u32,
+}
+
+/// Fault switches.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+pub struct EngineFaults {
+    /// Requests to come that get no byte at all.
+    pub silent_next: u32,
+    /// Requests to come that stop in the middle without end marker.
+    pub truncate_next: u32,
+    /// Requests to come that first get events of another request.
+    pub cross_next: u32,
+    /// Requests to come that go silent in the middle.
+    pub stall_next: u32,
+    /// Every request fails with an error.
+    pub errors: bool,
+    /// Every answer is poor.
+    pub poor: bool,
+}
+
+/// Request as the engine received it.
+#[derive(Clone, Debug)]
+pub struct ReceivedRequest {
+    /// Request identifier.
+    pub request_id: String,
+    /// Version named in the body.
+    pub version: String,
+    /// Requests running when it was admitted, itself included.
+    pub concurrency: u32,
+    /// Whether the engine was cold.
+    pub cold: bool,
+    /// Tokens that the caller already had.
+    pub resume_offset: u64,
+    /// When it was admitted.
+    pub admitted_at: tokio::time::Instant,
+}
+
+/// Engine stand-in; clones share one state.
+#[derive(Clone)]
+pub struct EngineStandin {
+    /// What the engine is.
+    pub options: Arc<EngineOptions>,
+    /// Fault switches.
+    pub faults: Arc<Mutex<EngineFaults>>,
+    /// Admitted requests.
+    pub received: Arc<Mutex<Vec<ReceivedRequest>>>,
+    running: Arc<AtomicU32>,
+    answers: Arc<AtomicU32>,
+    boot: Arc<Mutex<u32>>,
+    cancelled: Arc<Mutex<HashMap<String, bool>>>,
+}
+
+impl EngineStandin {
+    /// Engine that starts warm or cold.
+    pub fn new(options: EngineOptions, warm: bool) -> Self {
+        let answers = if warm { options.warm_after } else { 0 };
+        Self {
+            options: Arc::new(options),
+            faults: Arc::default(),
+            received: Arc::default(),
+            running: Arc::default(),
+            answers: Arc::new(AtomicU32::new(answers)),
+            boot: Arc::new(Mutex::new(1)),
+            cancelled: Arc::default(),
+        }
+    }
+
+    /// Turns the engine cold without warning.
+    pub fn turn_cold(&self) {
+        self.answers.store(0, Ordering::SeqCst);
+        *self.boot.lock() += 1;
+    }
+
+    /// Whether the engine is cold.
+    pub fn cold(&self) -> bool {
+        self.answers.load(Ordering::SeqCst) < self.options.warm_after
+    }
+
+    /// Identifier of the current start.
+    pub fn boot(&self) -> String {
+        format!("{}-{}", self.options.name, self.boot.lock())
+    }
+
+    /// Requests that were cancelled.
+    pub fn cancelled(&self) -> usize {
+        self.cancelled.lock().len()
+    }
+
+    /// Routes of the engine.
+    pub fn router(&self) -> Router {
+        let route = |call| EngineHandler { engine: self.clone(), call };
+        Router::new()
+            .push(Router::with_path("v1/chat/completions").post(route(EngineRoute::Generate)))
+            .push(Router::with_path("v1/requests/{id}").delete(route(EngineRoute::Cancel)))
+            .push(Router::with_path("load").get(route(EngineRoute::Load)))
+    }
+
+    fn limit(&self) -> u32 {
+        if self.cold() { self.options.cold_concurrency } else { self.options.warm_concurrency }
+    }
+
+    async fn generate(&self, request: &mut Request, response: &mut Response) {
+        let _ = response.add_header("x-boot-id", self.boot(), true);
+        let header = |name: &str| request.header::<String>(name).unwrap_or_default();
+        let (id, resume) = (header("x-request-id"), header("x-resume-offset").parse().unwrap_or(0));
+        let Ok(body) = request.parse_json::<Value>().await else {
+            refuse(response, StatusCode::BAD_REQUEST, true);
+            return;
+        };
+        if self.faults.lock().errors {
+            refuse(response, StatusCode::INTERNAL_SERVER_ERROR, false);
+            return;
+        }
+        let Some(slot) = self.admit() else {
+            let cold = self.cold();
+            let status =
+                if cold { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::TOO_MANY_REQUESTS };
+            refuse(response, status, true);
+            return;
+        };
+        self.received.lock().push(ReceivedRequest {
+            request_id: id.clone(),
+            version: body["version"].as_str().unwrap_or_default().to_owned(),
+            concurrency: slot.concurrency,
+            cold: self.cold(),
+            resume_offset: resume,
+            admitted_at: tokio::time::Instant::now(),
+        });
+        let fault = self.take_fault();
+        if fault == Some(StreamFault::Silent) {
+            std::future::pending::<()>().await;
+        }
+        response.headers_mut().insert("content-type", "text/event-stream".parse().expect("static"));
+        response.stream(self.answer(id, &body, resume, fault, slot));
+    }
+
+    fn take_fault(&self) -> Option<StreamFault> {
+        let mut faults = self.faults.lock();
+        let mut take = |count: fn(&mut EngineFaults) -> &mut u32, fault| {
+            let count = count(&mut faults);
+            (*count > 0).then(|| {
+                *count -= 1;
+                fault
+            })
+        };
+        take(|faults| &mut faults.silent_next, StreamFault::Silent)
+            .or_else(|| take(|faults| &mut faults.truncate_next, StreamFault::Truncate))
+            .or_else(|| take(|faults| &mut faults.cross_next, StreamFault::Cross))
+            .or_else(|| take(|faults| &mut faults.stall_next, StreamFault::Stall))
+    }
+
+    fn admit(&self) -> Option<RunningSlot> {
+        let limit = self.limit();
+        let count = &self.running;
+        let former = count.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |now| {
+            (now < limit).then_some(now + 1)
+        });
+        former
+            .ok()
+            .map(|former| RunningSlot { running: Arc::clone(count), concurrency: former + 1 })
+    }
+
+    fn answer(
+        &self,
+        id: String,
+        body: &Value,
+        resume: u64,
+        fault: Option<StreamFault>,
+        slot: RunningSlot,
+    ) -> impl futures::Stream<Item = Result<Bytes, std::io::Error>> + Send + use<> {
+        let prompt = difficulty::prompt_text(body);
+        let good = difficulty::difficulty(&prompt) < self.options.skill && !self.faults.lock().poor;
+        let total = body["max_tokens"].as_u64().unwrap_or(self.options.answer_tokens).max(1);
+        let state = AnswerState {
+            engine: self.clone(),
+            id,
+            words: answer_words(&self.options, good, total),
+            prompt_tokens: prompt.split_whitespace().count() as u64,
+            offset: resume,
+            fault,
+            ended: false,
+            _slot: slot,
+        };
+        stream::unfold(state, AnswerState::step)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamFault {
+    Silent,
+    Truncate,
+    Cross,
+    Stall,
+}
+
+/// Counts one running request while it lives.
+struct RunningSlot {
+    running: Arc<AtomicU32>,
+    concurrency: u32,
+}
+
+impl Drop for RunningSlot {
+    fn drop(&mut self) {
+        self.running.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+struct AnswerState {
+    engine: EngineStandin,
+    id: String,
+    words: Vec<String>,
+    prompt_tokens: u64,
+    offset: u64,
+    fault: Option<StreamFault>,
+    ended: bool,
+    _slot: RunningSlot,
+}
+
+impl AnswerState {
+    async fn step(mut self) -> Option<(Result<Bytes, std::io::Error>, Self)> {
+        if self.ended {
+            return None;
+        }
+        if self.fault == Some(StreamFault::Cross) {
+            self.fault = None;
+            let other = "f".repeat(32);
+            return Some((Ok(token_event(&other, self.offset, "crossed ")), self));
+        }
+        let total = self.words.len() as u64;
+        if self.offset >= total {
+            self.ended = true;
+            self.engine.answers.fetch_add(1, Ordering::SeqCst);
+            let event = end_event(&self.id, self.prompt_tokens, total);
+            return Some((Ok(event), self));
+        }
+        if self.offset >= total / 2 {
+            match self.fault {
+                Some(StreamFault::Truncate) => return None,
+                Some(StreamFault::Stall) => std::future::pending::<()>().await,
+                _ => {}
+            }
+        }
+        if !self.engine.options.token_time.is_zero() {
+            tokio::time::sleep(self.engine.options.token_time).await;
+        }
+        let event = token_event(&self.id, self.offset, &self.words[self.offset as usize]);
+        self.offset += 1;
+        Some((Ok(event), self))
+    }
+}
+
+fn answer_words(options: &EngineOptions, good: bool, total: u64) -> Vec<String> {
+    let mark = if good { difficulty::GOOD_MARK } else { difficulty::POOR_MARK };
+    let mut words = vec![format!("{mark} "), format!("{}/{} ", options.model, options.version)];
+    words.extend((2..total).map(|index| format!("w{index} ")));
+    words.truncate(total as usize);
+    words
+}
+
+fn token_event(id: &str, offset: u64, text: &str) -> Bytes {
+    let body = json!({
+        "id": id, "object": "chat.completion.chunk", "created": 0, "model": "standin",
+        "offset": offset,
+        "choices": [{ "index": 0, "delta": { "content": text }, "finish_reason": null }],
+    });
+    Bytes::from(format!("data: {body}\n\n"))
+}
+
+fn end_event(id: &str, prompt_tokens: u64, completion_tokens: u64) -> Bytes {
+    let body = json!({
+        "id": id, "object": "chat.completion.chunk", "created": 0, "model": "standin",
+        "choices": [{ "index": 0, "delta": {}, "finish_reason": "stop" }],
+        "usage": { "prompt_tokens": prompt_tokens, "completion_tokens": completion_tokens },
+    });
+    Bytes::from(format!("data: {body}\n\n"))
+}
+
+fn refuse(response: &mut Response, status: StatusCode, proved_not_run: bool) {
+    if proved_not_run {
+        let _ = response.add_header("x-ran", "no", true);
+    }
+    response.status_code(status);
+    response.render(salvo::writing::Json(json!({ "error": { "code": status.as_u16() } })));
+}
+
+#[derive(Clone, Copy)]
+enum EngineRoute {
+    Generate,
+    Cancel,
+    Load,
+}
+
+struct EngineHandler {
+    engine: EngineStandin,
+    call: EngineRoute,
+}
+
+#[handler]
+impl EngineHandler {
+    async fn handle(&self, request: &mut Request, _depot: &mut Depot, response: &mut Response) {
+        let engine = &self.engine;
+        match self.call {
+            EngineRoute::Generate => engine.generate(request, response).await,
+            EngineRoute::Cancel => {
+                let id = request.param::<String>("id").unwrap_or_default();
+                engine.cancelled.lock().insert(id, true);
+                response.status_code(StatusCode::NO_CONTENT);
+            }
+            EngineRoute::Load => response.render(salvo::writing::Json(json!({
+                "requests": engine.running.load(Ordering::SeqCst),
+                "cold": engine.cold(),
+                "boot": engine.boot(),
+            }))),
+        }
+    }
+}
--- a/src/standins/mod.rs
+++ b/src/standins/mod.rs
@@ -2,7 +2,11 @@
 //!
 //! They serve tests and examples only; the daemon never uses them.
 
+pub mod difficulty;
+pub mod engine;
 pub mod kv;
 pub mod kv_http;
 pub mod kv_table;
+pub mod list;
 pub mod server;
+pub mod service;
