Serve chat and plain service calls end to end

Cause: nothing answered a caller yet. Change: request parsing, token index, answer reader with retry and resume, the chat and service flows, the HTTP interface, and a node that reads records from the key-value service and replicas from the instance list.

--- /dev/null
+++ b/src/answer_reader.rs
@@ -0,0 +1,272 @@
+//! Reads the answer of one step of a job, over as many attempts as it takes.
+//!
+//! A broken stream is resumed at the same replica; an attempt that delivered
+//! nothing moves to another replica. Every attempt passes the dispatch checks
+//! again. An answer whose tokens already left for the caller is never restarted.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::{
+    chat_job, engine_client, error_body, ids, node, node_dispatch, refusal_reason, retry_reason,
+};
+
+/// Attempts of one step, the first included.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// What the reader found next.
+#[derive(Debug)]
+pub enum ReaderEvent {
+    /// Next token: its text and the event as received.
+    Token(String, Bytes),
+    /// Earlier tokens are void; the answer starts again.
+    Restarted,
+    /// The answer is whole.
+    End(engine_client::TokenUsage, String),
+}
+
+struct Attempt {
+    stream: engine_client::EngineStream,
+    dispatch: node_dispatch::DispatchGuard,
+    opened_at: Instant,
+    first_token: bool,
+}
+
+/// Reader of one answer.
+pub struct AnswerReader {
+    node: Arc<node::Node>,
+    job: Arc<chat_job::ChatJob>,
+    target: chat_job::VersionTarget,
+    body: Bytes,
+    /// Whether tokens go to the caller as they arrive.
+    streamed: bool,
+    attempt: Option<Attempt>,
+    tried: SmallVec<[ids::ReplicaName; 4]>,
+    attempts: u32,
+    tokens: u64,
+    ended: bool,
+}
+
+impl AnswerReader {
+    /// Reader that has sent nothing yet.
+    pub fn new(
+        node: Arc<node::Node>,
+        job: Arc<chat_job::ChatJob>,
+        target: chat_job::VersionTarget,
+        streamed: bool,
+    ) -> Self {
+        let body = job.request.engine_body(&target.model.name, &target.version);
+        Self {
+            node,
+            job,
+            target,
+            body,
+            streamed,
+            attempt: None,
+            tried: SmallVec::new(),
+            attempts: 0,
+            tokens: 0,
+            ended: false,
+        }
+    }
+
+    /// Model and version that answer.
+    pub fn target(&self) -> &chat_job::VersionTarget {
+        &self.target
+    }
+
+    /// Tokens received so far.
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Next event of the answer.
+    ///
+    /// # Errors
+    /// With a refusal when no attempt is left, a dispatch check fails or the deadline passes.
+    pub async fn next(&mut self) -> Result<ReaderEvent, error_body::RequestRefusal> {
+        let deadline = self.job.deadline;
+        match tokio::time::timeout_at(deadline, self.next_event()).await {
+            Ok(found) => found,
+            Err(_) => {
+                let reason = refusal_reason::RefusalReason::DeadlineExceeded;
+                Err(self.refusal(reason, "deadline passed"))
+            }
+        }
+    }
+
+    async fn next_event(&mut self) -> Result<ReaderEvent, error_body::RequestRefusal> {
+        loop {
+            if self.attempt.is_none() {
+                let restarted = self.open_elsewhere().await?;
+                if restarted {
+                    return Ok(ReaderEvent::Restarted);
+                }
+            }
+            let Some(attempt) = self.attempt.as_mut() else { continue };
+            match attempt.stream.next().await {
+                Ok(engine_client::EngineEvent::Token(_, text, raw)) => {
+                    if !attempt.first_token {
+                        attempt.first_token = true;
+                        let elapsed = attempt.opened_at.elapsed();
+                        self.node.note_first_token(&attempt.dispatch, elapsed);
+                    }
+                    self.tokens += 1;
+                    return Ok(ReaderEvent::Token(text, raw));
+                }
+                Ok(engine_client::EngineEvent::End(usage, reason)) => {
+                    self.ended = true;
+                    let attempt = self.attempt.take();
+                    if let Some(attempt) = attempt {
+                        self.node.note_success(&attempt.dispatch);
+                    }
+                    return Ok(ReaderEvent::End(usage, reason));
+                }
+                Err(error) => self.recover(error).await?,
+            }
+        }
+    }
+
+    /// Opens an attempt at a replica that was not tried; true when tokens became void.
+    async fn open_elsewhere(&mut self) -> Result<bool, error_body::RequestRefusal> {
+        loop {
+            let dispatch =
+                self.node.dispatch(&self.job, &self.target, &self.tried, self.attempts).await?;
+            self.attempts += 1;
+            match self.open_at(dispatch, 0, false).await {
+                Ok(attempt) => {
+                    self.attempt = Some(attempt);
+                    let void = self.tokens > 0;
+                    self.tokens = 0;
+                    return Ok(void);
+                }
+                Err((error, dispatch)) => {
+                    self.tried.push(dispatch.row.name.clone());
+                    self.may_retry(&error, &dispatch)?;
+                }
+            }
+        }
+    }
+
+    async fn open_at(
+        &mut self,
+        dispatch: node_dispatch::DispatchGuard,
+        resume_offset: u64,
+        fresh_connection: bool,
+    ) -> Result<Attempt, (engine_client::AttemptError, node_dispatch::DispatchGuard)> {
+        let call = engine_client::EngineCall {
+            address: dispatch.row.address,
+            request_id: self.job.id,
+            body: self.body.clone(),
+            resume_offset,
+            priority: self.job.request.priority,
+            time_left: self.job.deadline.saturating_duration_since(Instant::now()),
+            fresh_connection,
+        };
+        match self.node.engine.open(&call).await {
+            Ok(stream) => {
+                self.node.note_boot(&dispatch, stream.boot.as_ref());
+                let opened_at = Instant::now();
+                Ok(Attempt { stream, dispatch, opened_at, first_token: resume_offset > 0 })
+            }
+            Err(error) => {
+                self.node.note_failure(&dispatch, &error);
+                Err((error, dispatch))
+            }
+        }
+    }
+
+    /// Resumes a broken attempt at its replica, or gives the replica up.
+    async fn recover(
+        &mut self,
+        error: engine_client::AttemptError,
+    ) -> Result<(), error_body::RequestRefusal> {
+        let Some(attempt) = self.attempt.take() else { return Ok(()) };
+        self.node.note_failure(&attempt.dispatch, &error);
+        self.may_retry(&error, &attempt.dispatch)?;
+        let offset = attempt.stream.next_offset();
+        let name = attempt.dispatch.row.name.clone();
+        drop(attempt.stream);
+        if offset > 0 {
+            self.node.recheck(&self.job, &self.target, &attempt.dispatch)?;
+            self.attempts += 1;
+            match self.open_at(attempt.dispatch, offset, true).await {
+                Ok(attempt) => {
+                    self.attempt = Some(attempt);
+                    return Ok(());
+                }
+                Err((error, dispatch)) => self.may_retry(&error, &dispatch)?,
+            }
+        }
+        self.tried.push(name);
+        if self.streamed && offset > 0 {
+            let reason = refusal_reason::RefusalReason::AnswerTruncated;
+            return Err(self.refusal(reason, "answer could not be resumed"));
+        }
+        Ok(())
+    }
+
+    fn may_retry(
+        &self,
+        error: &engine_client::AttemptError,
+        dispatch: &node_dispatch::DispatchGuard,
+    ) -> Result<(), error_body::RequestRefusal> {
+        let allowed = self.attempts < MAX_ATTEMPTS
+            && self.node.retry_allowed(&self.job.customer.name, &dispatch.row.name, error.reason);
+        if allowed {
+            metrics::counter!("yuccareel_retries_total", "reason" => error.reason.code())
+                .increment(1);
+            return Ok(());
+        }
+        let reason = failure_reason(error.reason, self.tokens > 0);
+        let mut refusal = self.refusal(reason, &error.to_string());
+        if self.attempts <= 1 && error.ran == error_body::RunState::No {
+            refusal.ran = error_body::RunState::No;
+        }
+        Err(refusal)
+    }
+
+    fn refusal(
+        &self,
+        reason: refusal_reason::RefusalReason,
+        message: &str,
+    ) -> error_body::RequestRefusal {
+        if self.attempts == 0 {
+            return error_body::RequestRefusal::not_run(reason, message);
+        }
+        error_body::RequestRefusal::unknown(reason, message)
+    }
+}
+
+impl Drop for AnswerReader {
+    fn drop(&mut self) {
+        let Some(attempt) = self.attempt.take() else { return };
+        if self.ended {
+            return;
+        }
+        let (engine, id) = (self.node.engine.clone(), self.job.id);
+        let address = attempt.dispatch.row.address;
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(async move { engine.cancel(address, id).await });
+        }
+    }
+}
+
+fn failure_reason(
+    reason: retry_reason::RetryReason,
+    delivered: bool,
+) -> refusal_reason::RefusalReason {
+    match reason {
+        retry_reason::RetryReason::BackendCold => refusal_reason::RefusalReason::ColdStart,
+        retry_reason::RetryReason::BackendBusy => refusal_reason::RefusalReason::Overloaded,
+        retry_reason::RetryReason::StreamTruncated | retry_reason::RetryReason::ProgressTimeout
+            if delivered =>
+        {
+            refusal_reason::RefusalReason::AnswerTruncated
+        }
+        _ => refusal_reason::RefusalReason::BackendFailed,
+    }
+}
--- a/src/engine_client.rs
+++ b/src/engine_client.rs
@@ -91,8 +91,8 @@
 pub enum EngineEvent {
     /// Next token: its offset, its text and the event as received.
     Token(u64, String, Bytes),
-    /// End marker with the number of prompt and generated tokens.
-    End(TokenUsage),
+    /// End marker with the number of tokens and the reason of the end.
+    End(TokenUsage, String),
 }
 
 /// Tokens of an answer.
@@ -129,6 +129,7 @@
 struct ChunkChoice {
     #[serde(default)]
     delta: ChunkDelta,
+    finish_reason: Option<String>,
 }
 
 #[derive(Default, Deserialize)]
@@ -309,7 +310,8 @@
                 if usage.completion_tokens != self.next_offset {
                     return Err(AttemptError::unknown(Reason::StreamTruncated, "tokens missing"));
                 }
-                return Ok(EngineEvent::End(usage));
+                let reason = chunk.choices.into_iter().find_map(|choice| choice.finish_reason);
+                return Ok(EngineEvent::End(usage, reason.unwrap_or_else(|| "stop".to_owned())));
             }
             if chunk.offset < self.next_offset {
                 self.mismatched += 1;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,17 +4,26 @@
 //! source and return actions. Modules at the process edge own sockets and call
 //! them. `docs/design.md` maps every module to its job.
 
+pub mod answer_reader;
+pub mod chat_flow;
+pub mod chat_job;
+pub mod chat_request;
 pub mod config_change;
 pub mod config_snapshot;
 pub mod engine_client;
 pub mod error_body;
+pub mod http_server;
 pub mod ids;
 pub mod instance_list;
 pub mod kv_client;
 pub mod kv_store;
+pub mod node;
+pub mod node_dispatch;
 pub mod records;
 pub mod refusal_reason;
 pub mod rendezvous;
 pub mod replica_table;
 pub mod retry_reason;
+pub mod service_flow;
 pub mod standins;
+pub mod token_index;
--- a/src/standins/engine.rs
+++ b/src/standins/engine.rs
@@ -263,13 +263,16 @@
         if self.fault == Some(StreamFault::Cross) {
             self.fault = None;
             let other = "f".repeat(32);
-            return Some((Ok(token_event(&other, self.offset, "crossed ")), self));
+            return Some((
+                Ok(token_event(&self.engine.options.model, &other, self.offset, "crossed ")),
+                self,
+            ));
         }
         let total = self.words.len() as u64;
         if self.offset >= total {
             self.ended = true;
             self.engine.answers.fetch_add(1, Ordering::SeqCst);
-            let event = end_event(&self.id, self.prompt_tokens, total);
+            let event = end_event(&self.engine.options.model, &self.id, self.prompt_tokens, total);
             return Some((Ok(event), self));
         }
         if self.offset >= total / 2 {
@@ -282,7 +285,12 @@
         if !self.engine.options.token_time.is_zero() {
             tokio::time::sleep(self.engine.options.token_time).await;
         }
-        let event = token_event(&self.id, self.offset, &self.words[self.offset as usize]);
+        let event = token_event(
+            &self.engine.options.model,
+            &self.id,
+            self.offset,
+            &self.words[self.offset as usize],
+        );
         self.offset += 1;
         Some((Ok(event), self))
     }
@@ -296,18 +304,18 @@
     words
 }
 
-fn token_event(id: &str, offset: u64, text: &str) -> Bytes {
+fn token_event(model: &str, id: &str, offset: u64, text: &str) -> Bytes {
     let body = json!({
-        "id": id, "object": "chat.completion.chunk", "created": 0, "model": "standin",
+        "id": id, "object": "chat.completion.chunk", "created": 0, "model": model,
         "offset": offset,
         "choices": [{ "index": 0, "delta": { "content": text }, "finish_reason": null }],
     });
     Bytes::from(format!("data: {body}\n\n"))
 }
 
-fn end_event(id: &str, prompt_tokens: u64, completion_tokens: u64) -> Bytes {
+fn end_event(model: &str, id: &str, prompt_tokens: u64, completion_tokens: u64) -> Bytes {
     let body = json!({
-        "id": id, "object": "chat.completion.chunk", "created": 0, "model": "standin",
+        "id": id, "object": "chat.completion.chunk", "created": 0, "model": model,
         "choices": [{ "index": 0, "delta": {}, "finish_reason": "stop" }],
         "usage": { "prompt_tokens": prompt_tokens, "completion_tokens": completion_tokens },
     });
--- a/src/standins/mod.rs
+++ b/src/standins/mod.rs
@@ -8,5 +8,6 @@
 pub mod kv_http;
 pub mod kv_table;
 pub mod list;
+pub mod platform;
 pub mod server;
 pub mod service;
--- /dev/null
+++ b/src/token_index.rs
@@ -0,0 +1,71 @@
+//! Customers by bearer token.
+//!
+//! Only SHA-256 digests are kept. The index finds a candidate by the first bytes
+//! of the digest and compares the rest in constant time.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use sha2::Digest as _;
+use smallvec::SmallVec;
+use subtle::ConstantTimeEq as _;
+
+use crate::{config_snapshot, records};
+
+type TokenDigest = [u8; 32];
+type CustomerRow = (TokenDigest, Arc<records::customer::CustomerRecord>);
+
+/// Customers by token digest.
+#[derive(Debug, Default)]
+pub struct TokenIndex {
+    rows: HashMap<[u8; 8], SmallVec<[CustomerRow; 1]>>,
+}
+
+impl TokenIndex {
+    /// Index of all customers of a snapshot.
+    pub fn from_snapshot(snapshot: &config_snapshot::ConfigSnapshot) -> Self {
+        let mut index = Self::default();
+        for customer in snapshot.customers.values() {
+            for digest in customer.token_sha256.iter().filter_map(|text| parse_digest(text)) {
+                let rows = index.rows.entry(digest_prefix(&digest)).or_default();
+                rows.push((digest, Arc::clone(customer)));
+            }
+        }
+        index
+    }
+
+    /// Customer that a bearer token belongs to.
+    pub fn find(&self, token: &str) -> Option<&Arc<records::customer::CustomerRecord>> {
+        let digest = token_digest(token);
+        let rows = self.rows.get(&digest_prefix(&digest))?;
+        rows.iter().find(|(known, _)| known.ct_eq(&digest).into()).map(|(_, customer)| customer)
+    }
+}
+
+/// SHA-256 of a token.
+pub fn token_digest(token: &str) -> TokenDigest {
+    sha2::Sha256::digest(token.as_bytes()).into()
+}
+
+/// SHA-256 of a token in hexadecimal, as customer records hold it.
+pub fn token_hash(token: &str) -> String {
+    token_digest(token).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Digest from 64 hexadecimal digits.
+pub fn parse_digest(text: &str) -> Option<TokenDigest> {
+    if text.len() != 64 || !text.is_ascii() {
+        return None;
+    }
+    let mut digest = [0; 32];
+    for (byte, place) in digest.iter_mut().zip((0..64).step_by(2)) {
+        *byte = u8::from_str_radix(&text[place..place + 2], 16).ok()?;
+    }
+    Some(digest)
+}
+
+fn digest_prefix(digest: &TokenDigest) -> [u8; 8] {
+    let mut prefix = [0; 8];
+    prefix.copy_from_slice(&digest[..8]);
+    prefix
+}
--- /dev/null
+++ b/tests/chat_client.rs
@@ -0,0 +1,43 @@
+//! An off-the-shelf chat client works unchanged, whole and streamed.
+
+mod support;
+
+use async_openai::config::OpenAIConfig;
+use async_openai::types::chat::{
+    ChatCompletionRequestUserMessageArgs, CreateChatCompletionRequest,
+    CreateChatCompletionRequestArgs,
+};
+use futures::StreamExt as _;
+
+fn request(text: &str) -> CreateChatCompletionRequest {
+    let message = ChatCompletionRequestUserMessageArgs::default().content(text).build().unwrap();
+    CreateChatCompletionRequestArgs::default()
+        .model("small")
+        .messages([message.into()])
+        .build()
+        .unwrap()
+}
+
+fn client(path: &support::WholePath) -> async_openai::Client<OpenAIConfig> {
+    let config = OpenAIConfig::new().with_api_base(path.url("/v1")).with_api_key(support::TOKEN);
+    async_openai::Client::with_config(config)
+}
+
+/// Guards against replies that the usual client library cannot read.
+#[tokio::test]
+async fn whole_and_streamed_answers_are_equal() {
+    let path = support::start().await;
+    let client = client(&path);
+    let whole = client.chat().create(request("hello")).await.unwrap();
+    let text = whole.choices[0].message.content.clone().unwrap();
+    assert!(text.starts_with("good: small/v1 "), "{text}");
+    let mut stream = client.chat().create_stream(request("hello")).await.unwrap();
+    let mut streamed = String::new();
+    while let Some(chunk) = stream.next().await {
+        for choice in chunk.unwrap().choices {
+            streamed.push_str(&choice.delta.content.unwrap_or_default());
+        }
+    }
+    assert_eq!(streamed, text);
+    assert_eq!(client.models().list().await.unwrap().data[0].id, "small");
+}
