Keep the run state of a request over all its attempts

Cause: when every replica of a pool had failed, the last dispatch answered `no_replica` with `ran: no`, although earlier attempts may have run; and a pool whose replicas each had one silent connection was given up. Change: the reader keeps whether any attempt may have run and raises later refusals to `unknown`; tried replicas are used again, over a new connection, when no other is left.

--- a/src/answer_reader.rs
+++ b/src/answer_reader.rs
@@ -48,6 +48,9 @@
     attempts: u32,
     tokens: u64,
     ended: bool,
+    /// Whether an earlier attempt may have run.
+    may_have_run: bool,
+    last_error: Option<engine_client::AttemptError>,
 }
 
 impl AnswerReader {
@@ -70,6 +73,8 @@
             attempts: 0,
             tokens: 0,
             ended: false,
+            may_have_run: false,
+            last_error: None,
         }
     }
 
@@ -92,6 +97,8 @@
         match tokio::time::timeout_at(deadline, self.next_event()).await {
             Ok(found) => found,
             Err(_) => {
+                // An attempt that was being opened may have reached its replica.
+                self.may_have_run |= self.attempts > 0;
                 let reason = refusal_reason::RefusalReason::DeadlineExceeded;
                 Err(self.refusal(reason, "deadline passed"))
             }
@@ -130,13 +137,14 @@
         }
     }
 
-    /// Opens an attempt at a replica that was not tried; true when tokens became void.
+    /// Opens an attempt, first at replicas that were not tried; true when tokens became void.
     async fn open_elsewhere(&mut self) -> Result<bool, error_body::RequestRefusal> {
         loop {
-            let dispatch =
-                self.node.dispatch(&self.job, &self.target, &self.tried, self.attempts).await?;
+            let dispatch = self.dispatch().await?;
             self.attempts += 1;
-            match self.open_at(dispatch, 0, false).await {
+            // A silent connection may come from the pool, so a retry opens a new one.
+            let fresh = self.last_error.is_some();
+            match self.open_at(dispatch, 0, fresh).await {
                 Ok(attempt) => {
                     self.attempt = Some(attempt);
                     let void = self.tokens > 0;
@@ -145,12 +153,34 @@
                 }
                 Err((error, dispatch)) => {
                     self.tried.push(dispatch.row.name.clone());
-                    self.may_retry(&error, &dispatch)?;
+                    self.may_retry(error, &dispatch)?;
                 }
             }
         }
     }
 
+    /// Chooses a replica; tried ones come again when no other is left.
+    async fn dispatch(
+        &mut self,
+    ) -> Result<node_dispatch::DispatchGuard, error_body::RequestRefusal> {
+        let (node, job) = (Arc::clone(&self.node), Arc::clone(&self.job));
+        let chosen = node.dispatch(&job, &self.target, &self.tried, self.attempts).await;
+        let Err(refusal) = chosen else { return chosen };
+        let exhausted = refusal.reason == refusal_reason::RefusalReason::NoReplica;
+        if !exhausted || self.tried.is_empty() {
+            return Err(self.with_run_state(refusal));
+        }
+        self.tried.clear();
+        let chosen = node.dispatch(&job, &self.target, &self.tried, self.attempts).await;
+        chosen.map_err(|refusal| self.with_run_state(refusal))
+    }
+
+    /// A refusal after an attempt that may have run never says that nothing ran.
+    fn with_run_state(&self, refusal: error_body::RequestRefusal) -> error_body::RequestRefusal {
+        let ran = if self.may_have_run { error_body::RunState::Unknown } else { refusal.ran };
+        error_body::RequestRefusal { ran, ..refusal }
+    }
+
     async fn open_at(
         &mut self,
         dispatch: node_dispatch::DispatchGuard,
@@ -186,7 +216,7 @@
     ) -> Result<(), error_body::RequestRefusal> {
         let Some(attempt) = self.attempt.take() else { return Ok(()) };
         self.node.note_failure(&attempt.dispatch, &error);
-        self.may_retry(&error, &attempt.dispatch)?;
+        self.may_retry(error, &attempt.dispatch)?;
         let offset = attempt.stream.next_offset();
         let name = attempt.dispatch.row.name.clone();
         drop(attempt.stream);
@@ -198,7 +228,7 @@
                     self.attempt = Some(attempt);
                     return Ok(());
                 }
-                Err((error, dispatch)) => self.may_retry(&error, &dispatch)?,
+                Err((error, dispatch)) => self.may_retry(error, &dispatch)?,
             }
         }
         self.tried.push(name);
@@ -210,23 +240,21 @@
     }
 
     fn may_retry(
-        &self,
-        error: &engine_client::AttemptError,
+        &mut self,
+        error: engine_client::AttemptError,
         dispatch: &node_dispatch::DispatchGuard,
     ) -> Result<(), error_body::RequestRefusal> {
+        self.may_have_run |= error.ran == error_body::RunState::Unknown;
+        let reason = error.reason;
         let allowed = self.attempts < MAX_ATTEMPTS
-            && self.node.retry_allowed(&self.job.customer.name, &dispatch.row.name, error.reason);
+            && self.node.retry_allowed(&self.job.customer.name, &dispatch.row.name, reason);
+        let message = error.to_string();
+        self.last_error = Some(error);
         if allowed {
-            metrics::counter!("yuccareel_retries_total", "reason" => error.reason.code())
-                .increment(1);
+            metrics::counter!("yuccareel_retries_total", "reason" => reason.code()).increment(1);
             return Ok(());
         }
-        let reason = failure_reason(error.reason, self.tokens > 0);
-        let mut refusal = self.refusal(reason, &error.to_string());
-        if self.attempts <= 1 && error.ran == error_body::RunState::No {
-            refusal.ran = error_body::RunState::No;
-        }
-        Err(refusal)
+        Err(self.refusal(failure_reason(reason, self.tokens > 0), &message))
     }
 
     fn refusal(
@@ -234,10 +262,10 @@
         reason: refusal_reason::RefusalReason,
         message: &str,
     ) -> error_body::RequestRefusal {
-        if self.attempts == 0 {
-            return error_body::RequestRefusal::not_run(reason, message);
+        if self.may_have_run || self.attempt.is_some() {
+            return error_body::RequestRefusal::unknown(reason, message);
         }
-        error_body::RequestRefusal::unknown(reason, message)
+        error_body::RequestRefusal::not_run(reason, message)
     }
 }
 
