Read, check and commit routing records

Operators need records in files to be read with all faults reported at once and committed without losing a race or a lost answer.

Adds the readers of schema versions 1 and 2, the checks across records and the compare-and-swap commit on config/head with recognition of lost answers by apply id. Before: only the record structs existed.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,13 +4,22 @@
 //! source and return actions. Modules at the process edge own sockets and call
 //! them. `docs/design.md` maps every module to its job.
 
+pub mod config_apply;
 pub mod config_change;
+pub mod config_keys;
+pub mod config_plan;
 pub mod config_snapshot;
+pub mod config_store;
 pub mod error_body;
+pub mod field_reader;
 pub mod ids;
 pub mod instance_list;
 pub mod kv_client;
 pub mod kv_store;
+pub mod record_check;
+pub mod record_fields;
+pub mod record_finding;
+pub mod record_reader;
 pub mod records;
 pub mod refusal_reason;
 pub mod rendezvous;
