--- /dev/null
+++ b/src/quota_lease.rs
@@ -0,0 +1,243 @@
+//! Leased shares as a node holds them.
+//!
+//! The node counts a lease from the time it sent the request, the home from the
+//! time it answered, so the node's share always ends first and no clocks are
+//! compared. A share that ended is worth nothing, whatever the reason.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::{ids, quota_message, rendezvous};
+
+/// Requests whose replies are still accepted, per home.
+const SENT_KEPT: usize = 8;
+
+/// Use of one resource by this node, as sent with the next renewal.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ShareUse {
+    /// Quantity that the node could use now, including what is in use.
+    pub wanted: u64,
+    /// Quantity occupied by running requests.
+    pub in_use: u64,
+    /// Total so far, see `quota_message::ShareWant::used`.
+    pub used: u64,
+    /// Day of `used`.
+    pub period: u64,
+}
+
+/// What a node may use of a resource at one moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ShareState {
+    /// No home has answered yet; the first exchange is under way.
+    Unasked,
+    /// Leased share.
+    Leased {
+        /// Amount.
+        amount: u64,
+        /// Whole quantity when it was granted.
+        quantity: u64,
+        /// Whether the replica is cold.
+        cold: bool,
+        /// Total use when the request was sent.
+        used_at_send: u64,
+    },
+    /// No home, or no answer within the lease.
+    NoHome,
+}
+
+/// Leased shares of this node.
+#[derive(Debug)]
+pub struct ShareTable {
+    node: ids::InstanceName,
+    incarnation: u64,
+    number: u64,
+    rows: [HashMap<Arc<str>, ShareRow>; 4],
+    contacts: HashMap<ids::InstanceName, HomeContact>,
+}
+
+#[derive(Debug, Default)]
+struct ShareRow {
+    use_now: ShareUse,
+    share: Option<LeasedShare>,
+    answered: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LeasedShare {
+    amount: u64,
+    quantity: u64,
+    cold: bool,
+    used_at_send: u64,
+    expires_at: Duration,
+}
+
+#[derive(Debug, Default)]
+struct HomeContact {
+    applied: u64,
+    sent: SmallVec<[SentRequest; 2]>,
+}
+
+#[derive(Debug)]
+struct SentRequest {
+    number: u64,
+    sent_at: Duration,
+    used: SmallVec<[(quota_message::ResourceKey, u64); 4]>,
+}
+
+impl ShareTable {
+    /// Empty table of a node; `incarnation` grows with each start under the same name.
+    pub fn new(node: ids::InstanceName, incarnation: u64) -> Self {
+        let rows = std::array::from_fn(|_| HashMap::new());
+        Self { node, incarnation, number: 0, rows, contacts: HashMap::new() }
+    }
+
+    /// States the use of a resource; returns whether it needs an exchange at once.
+    ///
+    /// That is so on first demand and when demand first exceeds what is held, so that a surge
+    /// gets its shares before the next periodic renewal.
+    pub fn set_use(
+        &mut self,
+        kind: quota_message::ResourceKind,
+        name: &Arc<str>,
+        use_now: ShareUse,
+        now: Duration,
+    ) -> bool {
+        let row = self.rows[kind as usize].entry(name.clone()).or_default();
+        let former = std::mem::replace(&mut row.use_now, use_now);
+        let held = row.share.filter(|share| now < share.expires_at).map_or(0, |share| share.amount);
+        use_now.wanted > held && (former.wanted == 0 || former.wanted <= held)
+    }
+
+    /// Forgets a resource that is no longer used.
+    pub fn remove(&mut self, kind: quota_message::ResourceKind, name: &str) {
+        self.rows[kind as usize].remove(name);
+    }
+
+    /// Renewals, one per home, for all resources with demand.
+    pub fn requests(
+        &mut self,
+        now: Duration,
+        members: &[ids::InstanceName],
+    ) -> Vec<(ids::InstanceName, quota_message::ShareRequest)> {
+        let mut wants: HashMap<ids::InstanceName, SmallVec<[_; 4]>> = HashMap::new();
+        for kind in quota_message::ResourceKind::ALL {
+            for (name, row) in &self.rows[kind as usize] {
+                let resource = quota_message::ResourceKey::new(kind, name.clone());
+                let demand = row.use_now.wanted > 0 || row.use_now.in_use > 0;
+                if !demand && row.share.is_none_or(|share| now >= share.expires_at) {
+                    continue;
+                }
+                if let Some(home) = rendezvous::home(&resource.hash_key(), members) {
+                    wants.entry(home.clone()).or_default().push(want(resource, row.use_now));
+                }
+            }
+        }
+        wants.into_iter().map(|(home, wants)| self.request(now, home, wants)).collect()
+    }
+
+    fn request(
+        &mut self,
+        now: Duration,
+        home: ids::InstanceName,
+        wants: SmallVec<[quota_message::ShareWant; 4]>,
+    ) -> (ids::InstanceName, quota_message::ShareRequest) {
+        self.number += 1;
+        let contact = self.contacts.entry(home.clone()).or_default();
+        if contact.sent.len() == SENT_KEPT {
+            contact.sent.remove(0);
+        }
+        let used = wants.iter().map(|want| (want.resource.clone(), want.used)).collect();
+        contact.sent.push(SentRequest { number: self.number, sent_at: now, used });
+        let request = quota_message::ShareRequest {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            number: self.number,
+            applied: contact.applied,
+            wants,
+        };
+        (home, request)
+    }
+
+    /// Applies a reply; one that is late, repeated or older than the last is ignored.
+    pub fn apply(&mut self, home: &str, reply: &quota_message::ShareReply) {
+        let Some(contact) = self.contacts.get_mut(home) else { return };
+        let Some(at) = contact.sent.iter().position(|sent| sent.number == reply.number) else {
+            return;
+        };
+        let sent = contact.sent.drain(..=at).next_back().expect("the position was found");
+        contact.applied = reply.number;
+        for grant in &reply.grants {
+            let rows = &mut self.rows[grant.resource.kind as usize];
+            let Some(row) = rows.get_mut(&grant.resource.name) else { continue };
+            row.answered = true;
+            // Without a home the share of the former one stays valid until its lease ends.
+            if let quota_message::GrantOutcome::Leased { amount, quantity, cold } = grant.outcome {
+                let used = sent.used.iter().find(|(resource, _)| *resource == grant.resource);
+                row.share = Some(LeasedShare {
+                    amount,
+                    quantity,
+                    cold,
+                    used_at_send: used.map_or(0, |(_, used)| *used),
+                    expires_at: sent.sent_at + quota_message::SHARE_LEASE,
+                });
+            }
+        }
+    }
+
+    /// What the node may use of a resource now.
+    pub fn state(
+        &self,
+        kind: quota_message::ResourceKind,
+        name: &str,
+        now: Duration,
+    ) -> ShareState {
+        let Some(row) = self.rows[kind as usize].get(name) else { return ShareState::Unasked };
+        match row.share {
+            Some(share) if now < share.expires_at => ShareState::Leased {
+                amount: share.amount,
+                quantity: share.quantity,
+                cold: share.cold,
+                used_at_send: share.used_at_send,
+            },
+            None if !row.answered => ShareState::Unasked,
+            Some(_) | None => ShareState::NoHome,
+        }
+    }
+
+    /// Leased amount now; 0 without a lease.
+    pub fn leased(&self, kind: quota_message::ResourceKind, name: &str, now: Duration) -> u64 {
+        match self.state(kind, name, now) {
+            ShareState::Leased { amount, .. } => amount,
+            ShareState::Unasked | ShareState::NoHome => 0,
+        }
+    }
+
+    /// Amount usable of a customer limit: the share, or floor(limit / nodes) without a home.
+    pub fn customer_amount(
+        &self,
+        kind: quota_message::ResourceKind,
+        name: &str,
+        limit: u64,
+        nodes: usize,
+        now: Duration,
+    ) -> u64 {
+        match self.state(kind, name, now) {
+            ShareState::Leased { amount, .. } => amount,
+            ShareState::NoHome => limit / nodes.max(1) as u64,
+            ShareState::Unasked => 0,
+        }
+    }
+}
+
+fn want(resource: quota_message::ResourceKey, use_now: ShareUse) -> quota_message::ShareWant {
+    quota_message::ShareWant {
+        resource,
+        wanted: use_now.wanted,
+        in_use: use_now.in_use,
+        used: use_now.used,
+        period: use_now.period,
+    }
+}
--- /dev/null
+++ b/src/quota_message.rs
@@ -0,0 +1,175 @@
+//! Messages of the leased shares: resources, requests, replies and handover.
+//!
+//! Times in messages are durations, never clock values, because the clocks of
+//! two nodes have nothing in common.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::ids;
+
+/// Time for which a share is leased.
+pub const SHARE_LEASE: Duration = Duration::from_secs(2);
+
+/// Limited quantity that is shared out.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ResourceKey {
+    /// What is limited.
+    pub kind: ResourceKind,
+    /// Name of the replica or customer.
+    pub name: std::sync::Arc<str>,
+}
+
+/// What is limited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum ResourceKind {
+    /// Requests at a replica at once.
+    ReplicaConcurrency,
+    /// Requests of a customer, in thousandths per second.
+    CustomerRate,
+    /// Requests of a customer at once.
+    CustomerConcurrency,
+    /// Microcredits that a customer spends in a day.
+    CustomerSpend,
+}
+
+impl ResourceKind {
+    /// All kinds.
+    pub const ALL: [Self; 4] = [
+        Self::ReplicaConcurrency,
+        Self::CustomerRate,
+        Self::CustomerConcurrency,
+        Self::CustomerSpend,
+    ];
+
+    /// Stable name in hash keys.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::ReplicaConcurrency => "replica",
+            Self::CustomerRate => "rate",
+            Self::CustomerConcurrency => "concurrency",
+            Self::CustomerSpend => "spend",
+        }
+    }
+
+    /// Time for which a new home grants nothing.
+    ///
+    /// Shares of a former home that is cut off live until it is isolated (6 s) and one lease
+    /// longer (2 s). Customer limits tolerate an overlap and wait for one lease only.
+    pub fn settling(self) -> Duration {
+        match self {
+            Self::ReplicaConcurrency => Duration::from_secs(10),
+            Self::CustomerRate | Self::CustomerConcurrency | Self::CustomerSpend => SHARE_LEASE,
+        }
+    }
+
+    /// Whether a share whose lease ended may still be occupied by work.
+    ///
+    /// Requests outlive a lease, and spent money does not come back. A rate is used up at once.
+    pub fn outlives_lease(self) -> bool {
+        !matches!(self, Self::CustomerRate)
+    }
+}
+
+impl ResourceKey {
+    /// Key of a resource.
+    pub fn new(kind: ResourceKind, name: impl Into<std::sync::Arc<str>>) -> Self {
+        Self { kind, name: name.into() }
+    }
+
+    /// Key under which the home is hashed.
+    pub fn hash_key(&self) -> String {
+        format!("quota/{}/{}", self.kind.code(), self.name)
+    }
+}
+
+/// Demand of a node for one resource.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShareWant {
+    /// The resource.
+    pub resource: ResourceKey,
+    /// Quantity that the node could use now, including what is in use.
+    pub wanted: u64,
+    /// Quantity occupied by running requests.
+    pub in_use: u64,
+    /// Total so far: microcredits spent in the period, or answers in time for a replica.
+    pub used: u64,
+    /// Day to which `used` of a spend limit belongs; 0 for other kinds.
+    pub period: u64,
+}
+
+/// Renewal of all shares that a node holds or wants from one home.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShareRequest {
+    /// Node that asks.
+    pub node: ids::InstanceName,
+    /// Number of the node's start; a larger one replaces all state of a smaller one.
+    pub incarnation: u64,
+    /// Increasing number of the request.
+    pub number: u64,
+    /// Number of the last request whose reply the node applied; 0 for none.
+    pub applied: u64,
+    /// Demand by resource.
+    pub wants: SmallVec<[ShareWant; 4]>,
+}
+
+/// Reply to a share request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShareReply {
+    /// Number of the request.
+    pub number: u64,
+    /// Outcome by resource.
+    pub grants: SmallVec<[ShareGrant; 4]>,
+}
+
+/// Outcome for one resource.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShareGrant {
+    /// The resource.
+    pub resource: ResourceKey,
+    /// Share or the reason for none.
+    pub outcome: GrantOutcome,
+}
+
+/// Share or the reason for none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GrantOutcome {
+    /// Leased share, valid from the time the request was sent.
+    Leased {
+        /// Leased amount, may be 0.
+        amount: u64,
+        /// Whole quantity at this moment.
+        quantity: u64,
+        /// Whether the replica is cold.
+        cold: bool,
+    },
+    /// The node that was asked is not the home, settles, or is isolated.
+    NoHome,
+}
+
+/// Shares of one resource that a home hands to its successor.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResourceHandover {
+    /// The resource.
+    pub resource: ResourceKey,
+    /// Outstanding shares.
+    pub shares: Vec<HandedShare>,
+}
+
+/// Outstanding share of one node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HandedShare {
+    /// Node that holds the share.
+    pub node: ids::InstanceName,
+    /// Start of that node to which the numbers belong.
+    pub incarnation: u64,
+    /// Amount that may be in use.
+    pub amount: u64,
+    /// Time until the lease ends.
+    pub remaining: Duration,
+    /// Last known total.
+    pub used: u64,
+    /// Day to which `used` belongs.
+    pub period: u64,
+}
