--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! source and return actions. Modules at the process edge own sockets and call
 //! them. `docs/design.md` maps every module to its job.
 
+pub mod cascade_policy;
 pub mod config_change;
 pub mod config_snapshot;
 pub mod error_body;
@@ -11,9 +12,12 @@
 pub mod instance_list;
 pub mod kv_client;
 pub mod kv_store;
+pub mod prefix_index;
+pub mod quality_table;
 pub mod records;
 pub mod refusal_reason;
 pub mod rendezvous;
 pub mod replica_table;
 pub mod retry_reason;
+pub mod session_table;
 pub mod standins;
--- /dev/null
+++ b/src/prefix_index.rs
@@ -0,0 +1,156 @@
+//! Replicas that hold a prompt prefix in their cache.
+//!
+//! Rows come from the node's own sends and from the replicas' cache events,
+//! which arrive late and with gaps. After a gap the index cannot know what was
+//! evicted, so it forgets the replica and learns again.
+
+use std::collections::{BTreeMap, HashMap};
+
+use smallvec::SmallVec;
+use xxhash_rust::xxh3;
+
+use crate::ids;
+
+/// Most prefixes that are kept.
+pub const INDEX_PREFIXES: usize = 4_096;
+/// Most replicas that are kept for one prefix.
+const PREFIX_REPLICAS: usize = 8;
+/// Lengths of the prefixes that are looked up, in bytes.
+const PREFIX_BYTES: [usize; 5] = [256, 1_024, 4_096, 16_384, 65_536];
+/// Largest bonus, as a share of a replica's capacity. A larger one would send requests to a
+/// replica whose queue costs more than the cached prefix saves.
+pub const MAX_BONUS: f64 = 0.25;
+
+/// Hash of the first bytes of a prompt.
+pub type PrefixHash = u64;
+
+/// Hashes of the prefixes of a prompt, the shortest first.
+pub type PromptPrefixes = SmallVec<[PrefixHash; 5]>;
+
+/// Cache event of a replica.
+#[derive(Clone, Debug)]
+pub struct CacheEvent {
+    /// Replica.
+    pub replica: ids::ReplicaName,
+    /// Start of the engine process.
+    pub boot: ids::BootId,
+    /// Dense number within the boot, from 1.
+    pub sequence: u64,
+    /// Prefixes that entered the cache.
+    pub stored: Vec<PrefixHash>,
+    /// Prefixes that left the cache.
+    pub evicted: Vec<PrefixHash>,
+}
+
+#[derive(Clone, Debug)]
+struct PrefixRow {
+    replicas: SmallVec<[ids::ReplicaName; 2]>,
+    use_number: u64,
+}
+
+/// Prefixes known to this node.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixIndex {
+    rows: HashMap<PrefixHash, PrefixRow>,
+    uses: BTreeMap<u64, PrefixHash>,
+    next_use: u64,
+    events: HashMap<ids::ReplicaName, (ids::BootId, u64)>,
+}
+
+/// Prefixes of a prompt. Prompts below 256 bytes have none, as they save too little.
+pub fn prompt_prefixes(prompt: &[u8]) -> PromptPrefixes {
+    PREFIX_BYTES
+        .iter()
+        .take_while(|&&length| length <= prompt.len())
+        .map(|&length| xxh3::xxh3_64(&prompt[..length]))
+        .collect()
+}
+
+impl PrefixIndex {
+    /// Records that a prompt was sent to a replica.
+    pub fn record_send(&mut self, replica: &ids::ReplicaName, prefixes: &[PrefixHash]) {
+        for &prefix in prefixes {
+            self.add(prefix, replica);
+        }
+    }
+
+    /// Applies a cache event. Repeated events are dropped; a gap or a new boot forgets the replica.
+    pub fn apply(&mut self, event: &CacheEvent) {
+        let known = self.events.get(&event.replica);
+        let same_boot = known.is_some_and(|(boot, _)| *boot == event.boot);
+        let last = known.map_or(0, |(_, last)| *last);
+        if same_boot && event.sequence <= last {
+            return;
+        }
+        let continues = if same_boot { event.sequence == last + 1 } else { known.is_none() };
+        if !continues {
+            self.forget(&event.replica);
+        }
+        self.events.insert(event.replica.clone(), (event.boot.clone(), event.sequence));
+        for &prefix in &event.evicted {
+            self.remove(prefix, &event.replica);
+        }
+        for &prefix in &event.stored {
+            self.add(prefix, &event.replica);
+        }
+    }
+
+    /// Forgets all prefixes of a replica.
+    pub fn forget(&mut self, replica: &str) {
+        self.events.remove(replica);
+        let prefixes: Vec<PrefixHash> = self.rows.keys().copied().collect();
+        for prefix in prefixes {
+            self.remove(prefix, replica);
+        }
+    }
+
+    /// Bonus of a replica for a prompt, 0 to `MAX_BONUS`; grows with the longest cached prefix.
+    pub fn bonus(&self, replica: &str, prefixes: &[PrefixHash]) -> f64 {
+        let held = |prefix: &PrefixHash| {
+            self.rows
+                .get(prefix)
+                .is_some_and(|row| row.replicas.iter().any(|name| &**name == replica))
+        };
+        let longest = prefixes.iter().rposition(held).map_or(0, |place| place + 1);
+        MAX_BONUS * longest as f64 / prefixes.len().max(1) as f64
+    }
+
+    /// Number of prefixes.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether no prefix is known.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    fn add(&mut self, prefix: PrefixHash, replica: &ids::ReplicaName) {
+        let use_number = self.next_use;
+        self.next_use += 1;
+        let row =
+            self.rows.entry(prefix).or_insert(PrefixRow { replicas: SmallVec::new(), use_number });
+        self.uses.remove(&row.use_number);
+        row.use_number = use_number;
+        row.replicas.retain(|name| name != replica);
+        if row.replicas.len() == PREFIX_REPLICAS {
+            row.replicas.remove(0);
+        }
+        row.replicas.push(replica.clone());
+        self.uses.insert(use_number, prefix);
+        if self.rows.len() > INDEX_PREFIXES
+            && let Some((_, oldest)) = self.uses.pop_first()
+        {
+            self.rows.remove(&oldest);
+        }
+    }
+
+    fn remove(&mut self, prefix: PrefixHash, replica: &str) {
+        let Some(row) = self.rows.get_mut(&prefix) else { return };
+        row.replicas.retain(|name| &**name != replica);
+        if row.replicas.is_empty() {
+            self.uses.remove(&row.use_number);
+            self.rows.remove(&prefix);
+        }
+    }
+}
