--- /dev/null
+++ b/src/rating_client.rs
@@ -0,0 +1,126 @@
+//! Client of the answer-rating service.
+//!
+//! A rating delays the answer, so that a call ends after 150 ms. `RatingHealth`
+//! spares requests this delay while the service is known to be slow or gone.
+
+use std::time::Duration;
+
+use futures::FutureExt as _;
+use futures::future::BoxFuture;
+use serde::{Deserialize, Serialize};
+
+/// Time for one rating.
+pub const RATING_TIMEOUT: Duration = Duration::from_millis(150);
+/// Consecutive failures after which the service counts as unavailable.
+const FAILURE_LIMIT: u32 = 3;
+/// Time between two probes of an unavailable service.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Answer to be rated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RatingRequest {
+    /// Customer.
+    pub customer: String,
+    /// Kind of request.
+    pub kind: String,
+    /// Prompt.
+    pub prompt: String,
+    /// Answer.
+    pub answer: String,
+}
+
+/// Error of a rating.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RatingError {
+    /// No answer within the time for one rating.
+    #[error("rating service is slow")]
+    Slow,
+    /// The service cannot be reached or refused the call.
+    #[error("rating service failed: {0}")]
+    Failed(String),
+    /// The answer holds no score of 0 to 1.
+    #[error("rating service answered with an unreadable body: {0}")]
+    Unreadable(String),
+}
+
+/// Answer-rating service.
+pub trait RatingService: Send + Sync {
+    /// Rates an answer, 0 to 1, within `RATING_TIMEOUT`.
+    fn rate(&self, request: RatingRequest) -> BoxFuture<'_, Result<f64, RatingError>>;
+}
+
+/// Rating service over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpRatingService {
+    http: reqwest::Client,
+    base_url: String,
+}
+
+impl HttpRatingService {
+    /// Client for a base URL.
+    pub fn new(http: reqwest::Client, base_url: impl Into<String>) -> Self {
+        Self { http, base_url: base_url.into() }
+    }
+
+    async fn call(&self, request: &RatingRequest) -> Result<f64, RatingError> {
+        let url = format!("{}/rate", self.base_url);
+        let reply = self.http.post(url).json(request).send().await;
+        let reply = reply.and_then(reqwest::Response::error_for_status);
+        let reply = reply.map_err(|error| RatingError::Failed(error.to_string()))?;
+        let body: RatingBody =
+            reply.json().await.map_err(|error| RatingError::Unreadable(error.to_string()))?;
+        if !(0.0..=1.0).contains(&body.score) {
+            return Err(RatingError::Unreadable(format!("score {}", body.score)));
+        }
+        Ok(body.score)
+    }
+}
+
+impl RatingService for HttpRatingService {
+    fn rate(&self, request: RatingRequest) -> BoxFuture<'_, Result<f64, RatingError>> {
+        async move {
+            tokio::time::timeout(RATING_TIMEOUT, self.call(&request))
+                .await
+                .unwrap_or(Err(RatingError::Slow))
+        }
+        .boxed()
+    }
+}
+
+/// Body of an answer of the service.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct RatingBody {
+    /// Score, 0 to 1.
+    pub score: f64,
+}
+
+/// Whether the rating service answers in time, as this node has seen it.
+#[derive(Clone, Debug, Default)]
+pub struct RatingHealth {
+    failures: u32,
+    last_probe: Option<Duration>,
+}
+
+impl RatingHealth {
+    /// Records the outcome of a rating.
+    pub fn record(&mut self, succeeded: bool) {
+        self.failures = if succeeded { 0 } else { self.failures.saturating_add(1) };
+    }
+
+    /// Whether plans may count on ratings.
+    pub fn available(&self) -> bool {
+        self.failures < FAILURE_LIMIT
+    }
+
+    /// Whether to rate an answer that is already delivered, to see if the service is back.
+    ///
+    /// True at most once a second, and only while the service is unavailable.
+    pub fn take_probe(&mut self, now: Duration) -> bool {
+        let due = self.last_probe.is_none_or(|last| now.saturating_sub(last) >= PROBE_INTERVAL);
+        if self.available() || !due {
+            return false;
+        }
+        self.last_probe = Some(now);
+        true
+    }
+}
--- /dev/null
+++ b/src/rollout_evidence.rs
@@ -0,0 +1,268 @@
+//! Evidence on the two versions of a rollout and the test that judges it.
+//!
+//! The test multiplies, block by block, the likelihood of the counts when the
+//! new version is worse by the tolerated margin, over their likelihood when both
+//! versions share one rate. Under equal rates the product is an e-process:
+//! whatever the common rate and whenever one looks, it exceeds 1/a with a
+//! probability of at most a. While both versions take traffic, each block is its own
+//! control, so that a fault of the whole platform raises no alarm. A block without
+//! traffic of the old version is held to the rate that the old version had before.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids;
+
+/// Probability that a rollout of a good version is rolled back.
+pub const FALSE_ALARM_RATE: f64 = 0.01;
+/// Tolerated rise of the share of slow answers. The record has no limit for latency.
+pub const MAX_SLOW_RISE: f64 = 0.10;
+/// Number of tests that share the false-alarm rate: errors, ratings and slow answers.
+const TEST_COUNT: f64 = 3.0;
+/// Smallest margin that is tested. A margin of 0 would make both hypotheses equal.
+const MIN_MARGIN: f64 = 0.005;
+/// Answers that a rate is assumed to have before any; keeps rates away from 0 and 1.
+const RATE_SEED: (f64, f64) = (0.5, 20.0);
+/// Standard deviations above the old version's rate that a block without old traffic is held to.
+const BASELINE_DEVIATIONS: f64 = 4.0;
+
+/// Counters of one version.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionEvidence {
+    /// Finished requests.
+    pub requests: u64,
+    /// Requests that ended in an error.
+    pub errors: u64,
+    /// Answers that were rated.
+    pub rated: u64,
+    /// Rated answers below the quality target of their customer.
+    pub rated_bad: u64,
+    /// Answers slower than the latency limit.
+    pub slow: u64,
+}
+
+/// Counters of both versions since the last report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvidenceBlock {
+    /// Version that is replaced.
+    pub from: VersionEvidence,
+    /// Version that replaces it.
+    pub to: VersionEvidence,
+}
+
+/// Evidence of one sender, as sent every second.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvidenceReport {
+    /// Rollout.
+    pub rollout: ids::RolloutName,
+    /// Sender, unique per process start.
+    pub sender: ids::InstanceName,
+    /// Number of the report of this sender, rising.
+    pub sequence: u64,
+    /// Counters since the former report.
+    pub block: EvidenceBlock,
+    /// Nodes that have stopped the new version locally.
+    pub stopped: BTreeSet<ids::InstanceName>,
+}
+
+/// Bad answers out of a number of answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct BadCount {
+    /// Bad answers.
+    pub bad: f64,
+    /// All answers.
+    pub total: f64,
+}
+
+/// Sequential test of one rate, higher being worse.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SequentialTest {
+    /// Tolerated rise of the rate.
+    margin: f64,
+    /// Likelihood ratio, mixed over start times.
+    wealth: f64,
+    blocks: u64,
+    old: BadCount,
+    new: BadCount,
+}
+
+/// Tests of one rollout. Saved with its state, as starting again would add false alarms.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RolloutTests {
+    /// Errors.
+    pub errors: SequentialTest,
+    /// Answers rated below the target.
+    pub ratings: SequentialTest,
+    /// Slow answers.
+    pub slow: SequentialTest,
+}
+
+/// What an alarm was raised on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EvidenceAlarm {
+    /// More errors than tolerated.
+    Errors,
+    /// More badly rated answers than tolerated.
+    Ratings,
+    /// More slow answers than tolerated.
+    Slow,
+}
+
+/// Sums reports of many senders until the next forwarding.
+#[derive(Clone, Debug, Default)]
+pub struct EvidenceCollector {
+    block: EvidenceBlock,
+    stopped: BTreeSet<ids::InstanceName>,
+    sequences: BTreeMap<ids::InstanceName, u64>,
+}
+
+impl VersionEvidence {
+    /// Counts one finished request. `passed` is none for an unrated answer.
+    pub fn record(&mut self, error: bool, passed: Option<bool>, slow: bool) {
+        self.requests += 1;
+        self.errors += u64::from(error);
+        self.rated += u64::from(passed.is_some());
+        self.rated_bad += u64::from(passed == Some(false));
+        self.slow += u64::from(slow);
+    }
+
+    /// Adds counters.
+    pub fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.errors += other.errors;
+        self.rated += other.rated;
+        self.rated_bad += other.rated_bad;
+        self.slow += other.slow;
+    }
+}
+
+impl EvidenceBlock {
+    /// Adds counters.
+    pub fn add(&mut self, other: &Self) {
+        self.from.add(&other.from);
+        self.to.add(&other.to);
+    }
+}
+
+impl EvidenceCollector {
+    /// Adds a report; one that was seen before is dropped.
+    pub fn record(&mut self, report: &EvidenceReport) -> bool {
+        let last = self.sequences.entry(report.sender.clone()).or_default();
+        if report.sequence <= *last {
+            return false;
+        }
+        *last = report.sequence;
+        self.block.add(&report.block);
+        self.stopped.extend(report.stopped.iter().cloned());
+        true
+    }
+
+    /// Takes the sum of the reports since the last call.
+    pub fn take(&mut self) -> (EvidenceBlock, BTreeSet<ids::InstanceName>) {
+        (std::mem::take(&mut self.block), std::mem::take(&mut self.stopped))
+    }
+}
+
+impl BadCount {
+    fn of(bad: u64, total: u64) -> Self {
+        Self { bad: bad.min(total) as f64, total: total as f64 }
+    }
+
+    fn add(&mut self, other: Self) {
+        self.bad += other.bad;
+        self.total += other.total;
+    }
+
+    fn rate(self) -> f64 {
+        (self.bad + RATE_SEED.0) / (self.total + RATE_SEED.1)
+    }
+
+    /// Logarithm of the likelihood of the counts at one rate over that at another.
+    fn log_ratio(self, rate: f64, base: f64) -> f64 {
+        self.bad * (rate / base).ln() + (self.total - self.bad) * ((1.0 - rate) / (1.0 - base)).ln()
+    }
+}
+
+impl SequentialTest {
+    /// Test with a tolerated rise.
+    pub fn new(margin: f64) -> Self {
+        let margin = if margin.is_finite() { margin.clamp(MIN_MARGIN, 0.5) } else { MIN_MARGIN };
+        let none = BadCount::default();
+        Self { margin, wealth: 0.0, blocks: 0, old: none, new: none }
+    }
+
+    /// Takes the counts of one block. The rates compared come from former blocks only.
+    pub fn record(&mut self, old: BadCount, new: BadCount) {
+        if new.total > 0.0 {
+            self.blocks += 1;
+            let number = self.blocks as f64;
+            // The weights of all start times sum to 1, which keeps the bound on false alarms and
+            // lets a version that turns bad late be found without the good past held against it.
+            let started = 1.0 / (number * (number + 1.0));
+            self.wealth = (self.wealth + started) * self.log_likelihood_ratio(old, new).exp();
+        }
+        self.old.add(old);
+        self.new.add(new);
+    }
+
+    fn log_likelihood_ratio(&self, old: BadCount, new: BadCount) -> f64 {
+        let old_rate = self.old.rate().min(0.98);
+        if old.total == 0.0 {
+            if self.old.total == 0.0 {
+                return 0.0;
+            }
+            let spread = (old_rate * (1.0 - old_rate) / (self.old.total + RATE_SEED.1)).sqrt();
+            let base = (old_rate + BASELINE_DEVIATIONS * spread).min(0.98);
+            return new.log_ratio(self.worse_rate(base), base);
+        }
+        let new_rate = self.worse_rate(old_rate);
+        let pooled = (old.total * old_rate + new.total * new_rate) / (old.total + new.total);
+        old.log_ratio(old_rate, pooled) + new.log_ratio(new_rate, pooled)
+    }
+
+    /// Rate of a bad version: the rate seen so far, but worse by the margin at least.
+    fn worse_rate(&self, base: f64) -> f64 {
+        (base + self.margin).max(self.new.rate()).min(0.99)
+    }
+
+    /// Whether the new version is worse, at a false-alarm rate.
+    pub fn alarmed(&self, false_alarm_rate: f64) -> bool {
+        self.wealth >= 1.0 / false_alarm_rate
+    }
+}
+
+impl RolloutTests {
+    /// Tests with the limits of a rollout record.
+    pub fn new(max_error_rise: f64, max_quality_fall: f64) -> Self {
+        Self {
+            errors: SequentialTest::new(max_error_rise),
+            ratings: SequentialTest::new(max_quality_fall),
+            slow: SequentialTest::new(MAX_SLOW_RISE),
+        }
+    }
+
+    /// Takes one block of evidence.
+    pub fn record(&mut self, block: &EvidenceBlock) {
+        let (from, to) = (&block.from, &block.to);
+        let errors = |side: &VersionEvidence| BadCount::of(side.errors, side.requests);
+        let ratings = |side: &VersionEvidence| BadCount::of(side.rated_bad, side.rated);
+        let slow = |side: &VersionEvidence| BadCount::of(side.slow, side.requests);
+        self.errors.record(errors(from), errors(to));
+        self.ratings.record(ratings(from), ratings(to));
+        self.slow.record(slow(from), slow(to));
+    }
+
+    /// First alarm, if any.
+    pub fn alarm(&self) -> Option<EvidenceAlarm> {
+        let rate = FALSE_ALARM_RATE / TEST_COUNT;
+        [
+            (&self.errors, EvidenceAlarm::Errors),
+            (&self.ratings, EvidenceAlarm::Ratings),
+            (&self.slow, EvidenceAlarm::Slow),
+        ]
+        .into_iter()
+        .find_map(|(test, alarm)| test.alarmed(rate).then_some(alarm))
+    }
+}
--- a/src/standins/mod.rs
+++ b/src/standins/mod.rs
@@ -5,4 +5,6 @@
 pub mod kv;
 pub mod kv_http;
 pub mod kv_table;
+pub mod rating;
 pub mod server;
+pub mod weights;
