--- a/src/standins/mod.rs
+++ b/src/standins/mod.rs
@@ -9,5 +9,7 @@
 pub mod kv_table;
 pub mod list;
 pub mod platform;
+pub mod rating;
 pub mod server;
 pub mod service;
+pub mod weights;
