--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,17 +5,17 @@
 //! them. `docs/design.md` maps every module to its job.
 
 pub mod answer_reader;
+pub mod bill_audit;
+pub mod bill_batch;
+pub mod bill_copies;
+pub mod bill_ledger;
+pub mod bill_line;
 pub mod cascade_policy;
 pub mod chat_flow;
 pub mod chat_job;
 pub mod chat_request;
 pub mod cold_start;
 pub mod config_apply;
-pub mod bill_audit;
-pub mod bill_batch;
-pub mod bill_copies;
-pub mod bill_ledger;
-pub mod bill_line;
 pub mod config_change;
 pub mod config_keys;
 pub mod config_plan;
@@ -33,6 +33,7 @@
 pub mod kv_store;
 pub mod node;
 pub mod node_dispatch;
+pub mod open_bills;
 pub mod order_sender;
 pub mod prefix_index;
 pub mod quality_table;
@@ -43,7 +44,6 @@
 pub mod record_fields;
 pub mod record_finding;
 pub mod record_reader;
-pub mod open_bills;
 pub mod records;
 pub mod refusal_reason;
 pub mod rendezvous;
