--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod config_change;
 pub mod config_keys;
 pub mod config_plan;
+pub mod config_log;
 pub mod config_snapshot;
 pub mod config_store;
 pub mod engine_client;
@@ -26,6 +27,7 @@
 pub mod error_body;
 pub mod field_reader;
 pub mod http_server;
+pub mod freshness;
 pub mod ids;
 pub mod instance_list;
 pub mod kv_client;
@@ -44,6 +46,17 @@
 pub mod record_fields;
 pub mod record_finding;
 pub mod record_reader;
+pub mod member_age;
+pub mod member_choice;
+pub mod member_row;
+pub mod member_table;
+pub mod peer_client;
+pub mod peer_handler;
+pub mod peer_handshake;
+pub mod peer_message;
+pub mod peer_pool;
+pub mod peer_service;
+pub mod peer_wire;
 pub mod records;
 pub mod refusal_reason;
 pub mod rendezvous;
@@ -59,3 +72,9 @@
 pub mod standins;
 pub mod token_index;
 pub mod weight_client;
+
+/// Generated from `schema/peer.capnp`.
+#[allow(clippy::all, clippy::pedantic, missing_docs, unused)]
+#[rustfmt::skip]
+#[path = "generated/peer_capnp.rs"]
+pub mod peer_capnp;
