--- a/src/field_reader.rs
+++ b/src/field_reader.rs
@@ -128,7 +128,8 @@
             return Some(Arc::from(text));
         }
         let message = format!(
-            "expected 1 to {NAME_BYTES_MAX} letters, digits or any of . _ : -, found {text:?}"
+            "expected a letter or digit, then up to {} letters, digits or any of . _ : -, found {text:?}",
+            NAME_BYTES_MAX - 1
         );
         self.report(field, RecordFault::OutOfRange, message);
         None
@@ -353,7 +354,9 @@
 /// Whether a name may stand in keys, headers and labels.
 pub fn valid_name(text: &str) -> bool {
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._:-".contains(&byte);
-    (1..=NAME_BYTES_MAX).contains(&text.len()) && text.bytes().all(allowed)
+    // A name that begins with a dot could be taken for a relative path in a URL.
+    let begins = text.bytes().next().is_some_and(|byte| byte.is_ascii_alphanumeric());
+    begins && text.len() <= NAME_BYTES_MAX && text.bytes().all(allowed)
 }
 
 /// Type of a value, for messages.
