--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crate::{ids, member_table, peer_message};
+use crate::{ids, member_reach, peer_message};
 
 /// Age up to which a confirmation is sufficient.
 pub const CONFIRMED_AGE: Duration = Duration::from_secs(3);
@@ -71,7 +71,7 @@
     }
 
     /// Whether new work may start now.
-    pub fn freshness(&self, now: Duration, reach: member_table::MemberReach) -> Freshness {
+    pub fn freshness(&self, now: Duration, reach: member_reach::MemberReach) -> Freshness {
         if self.age(now).is_some_and(|age| age <= CONFIRMED_AGE) {
             Freshness::Confirmed
         } else if reach.majority() && self.reported_at <= self.adopted_at {
@@ -82,7 +82,7 @@
     }
 
     /// Whether the administration API accepts changes now.
-    pub fn accepts_changes(&self, now: Duration, reach: member_table::MemberReach) -> bool {
+    pub fn accepts_changes(&self, now: Duration, reach: member_reach::MemberReach) -> bool {
         self.freshness(now, reach) == Freshness::Confirmed && reach.majority()
     }
 
--- a/src/member_table.rs
+++ b/src/member_table.rs
@@ -9,37 +9,18 @@
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3;
-
-use crate::{ids, instance_list, member_age, member_row, peer_message};
+use crate::{
+    ids, instance_list, member_age, member_digest, member_reach, member_row, peer_message,
+};
 
 /// Rows in a heartbeat besides the sender's own.
 pub const CHANGED_ROWS: usize = 32;
-/// Time for which an exchange counts towards the majority.
-pub const REACH_WINDOW: Duration = Duration::from_secs(3);
 /// Age after which an unlisted node is forgotten. Well above the age of death, so
 /// that no node still passes the row on and brings it back.
 pub const FORGET_AFTER: Duration = Duration::from_secs(60);
 /// Heartbeats that carry a row after it changed: four rounds of three. Nodes that
 /// are missed find the change by the digest.
 const CHANGE_SENDS: u8 = 12;
-const BUCKET_SHIFT: u32 = u64::BITS - peer_message::DIGEST_BUCKETS.ilog2();
-
-/// Members of the instance list and how many of them were reached lately.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct MemberReach {
-    /// Entry instances of the last list read.
-    pub listed: usize,
-    /// Those that took part in an answered heartbeat within 3 s, this node included.
-    pub exchanged: usize,
-}
-
-impl MemberReach {
-    /// Whether more than half of the members were reached.
-    pub fn majority(self) -> bool {
-        self.exchanged * 2 > self.listed
-    }
-}
 
 /// Nodes known to this node.
 #[derive(Clone, Debug)]
@@ -49,7 +30,7 @@
     /// In the order of hash and name.
     entries: Vec<member_row::MemberEntry>,
     /// Per bucket, the combined digest of the rows that nodes wrote themselves.
-    digests: peer_message::TableDigest,
+    digests: member_digest::TableDigest,
     /// Bucket at which the next reply starts to fill in differing rows.
     next_bucket: usize,
 }
@@ -61,13 +42,13 @@
     /// the wall clock in milliseconds does. One of 0 is raised to 1.
     pub fn new(mut own: member_row::MemberRow, now: Duration) -> Self {
         own.incarnation = own.incarnation.max(1);
-        let own_hash = name_hash(&own.name);
+        let own_hash = member_digest::name_hash(&own.name);
         let mut table = Self {
             own: own.name.clone(),
             own_hash,
             entries: Vec::new(),
-            digests: [0; peer_message::DIGEST_BUCKETS],
-            next_bucket: bucket_of(own_hash),
+            digests: [0; member_digest::DIGEST_BUCKETS],
+            next_bucket: member_digest::bucket_of(own_hash),
         };
         table.insert(own, now);
         table
@@ -90,20 +71,22 @@
 
     /// Entry of a name.
     pub fn find(&self, name: &str) -> Option<&member_row::MemberEntry> {
-        self.position(name_hash(name), name).ok().map(|position| &self.entries[position])
+        self.position(member_digest::name_hash(name), name)
+            .ok()
+            .map(|position| &self.entries[position])
     }
 
     /// Digest of each bucket.
-    pub fn digests(&self) -> &peer_message::TableDigest {
+    pub fn digests(&self) -> &member_digest::TableDigest {
         &self.digests
     }
 
     /// Members of the last list read, and those reached within 3 s.
-    pub fn reach(&self, now: Duration) -> MemberReach {
-        let mut reach = MemberReach::default();
+    pub fn reach(&self, now: Duration) -> member_reach::MemberReach {
+        let mut reach = member_reach::MemberReach::default();
         for entry in self.entries.iter().filter(|entry| entry.listed) {
             reach.listed += 1;
-            let recent = |at: Duration| now.saturating_sub(at) <= REACH_WINDOW;
+            let recent = |at: Duration| now.saturating_sub(at) <= member_reach::REACH_WINDOW;
             if entry.row.name == self.own || entry.exchanged_at.is_some_and(recent) {
                 reach.exchanged += 1;
             }
@@ -189,7 +172,8 @@
             let expired = now.saturating_sub(entry.heard_at) >= FORGET_AFTER;
             let kept = entry.listed || !expired || entry.row.name == *own;
             if !kept {
-                digests[bucket_of(entry.hash)] ^= row_digest(&entry.row);
+                digests[member_digest::bucket_of(entry.hash)] ^=
+                    member_digest::row_digest(&entry.row);
             }
             kept
         });
@@ -209,7 +193,7 @@
             peer_address,
             data_centre: listed.data_centre.clone(),
         };
-        let position = match self.position(name_hash(&row.name), &row.name) {
+        let position = match self.position(member_digest::name_hash(&row.name), &row.name) {
             Ok(position) => position,
             Err(_) => self.insert(row.clone(), now),
         };
@@ -234,7 +218,7 @@
         if row.incarnation == 0 {
             return;
         }
-        let position = match self.position(name_hash(&row.name), &row.name) {
+        let position = match self.position(member_digest::name_hash(&row.name), &row.name) {
             Ok(position) if row.name == self.own => return self.merge_own(position, row),
             Ok(position) if self.entries[position].row.incarnation > row.incarnation => return,
             Ok(position) => position,
@@ -263,11 +247,11 @@
     fn merge_ages(
         &mut self,
         sent_at: Duration,
-        sent: &peer_message::TableDigest,
+        sent: &member_digest::TableDigest,
         reply: &peer_message::HeartbeatReply,
     ) {
         let mut rest = reply.ages.as_slice();
-        for bucket in (0..peer_message::DIGEST_BUCKETS).filter(|b| reply.matching >> b & 1 == 1) {
+        for bucket in (0..member_digest::DIGEST_BUCKETS).filter(|b| reply.matching >> b & 1 == 1) {
             let Some((&count, tail)) = rest.split_first() else { return };
             let Some((ages, tail)) = tail.split_at_checked(usize::from(count)) else { return };
             rest = tail;
@@ -288,16 +272,16 @@
     fn reply_rows(
         &mut self,
         now: Duration,
-        other: &peer_message::TableDigest,
+        other: &member_digest::TableDigest,
     ) -> Vec<peer_message::AgedRow> {
         let mut rows = vec![self.own_row(now)];
         let start = self.next_bucket;
-        for offset in 0..peer_message::DIGEST_BUCKETS {
-            let bucket = (start + offset) % peer_message::DIGEST_BUCKETS;
+        for offset in 0..member_digest::DIGEST_BUCKETS {
+            let bucket = (start + offset) % member_digest::DIGEST_BUCKETS;
             if self.digests[bucket] == other[bucket] {
                 continue;
             }
-            self.next_bucket = (bucket + 1) % peer_message::DIGEST_BUCKETS;
+            self.next_bucket = (bucket + 1) % member_digest::DIGEST_BUCKETS;
             for entry in bucket_entries(&mut self.entries, bucket) {
                 if rows.len() > CHANGED_ROWS {
                     return rows;
@@ -313,12 +297,12 @@
     fn matching_ages(
         &mut self,
         now: Duration,
-        other: &peer_message::TableDigest,
+        other: &member_digest::TableDigest,
     ) -> (u64, Vec<u8>) {
         self.touch_own(now);
         let (mut matching, mut ages) = (0, Vec::with_capacity(self.entries.len()));
-        for bucket in 0..peer_message::DIGEST_BUCKETS {
-            if self.digests[bucket] != other[bucket] {
+        for (bucket, digest) in other.iter().enumerate() {
+            if self.digests[bucket] != *digest {
                 continue;
             }
             let start = ages.len();
@@ -359,9 +343,9 @@
     }
 
     fn insert(&mut self, row: member_row::MemberRow, heard_at: Duration) -> usize {
-        let hash = name_hash(&row.name);
+        let hash = member_digest::name_hash(&row.name);
         let position = self.position(hash, &row.name).unwrap_or_else(|position| position);
-        self.digests[bucket_of(hash)] ^= row_digest(&row);
+        self.digests[member_digest::bucket_of(hash)] ^= member_digest::row_digest(&row);
         let entry = member_row::MemberEntry {
             row,
             listed: false,
@@ -376,7 +360,8 @@
 
     fn replace(&mut self, position: usize, row: member_row::MemberRow) {
         let entry = &mut self.entries[position];
-        self.digests[bucket_of(entry.hash)] ^= row_digest(&entry.row) ^ row_digest(&row);
+        self.digests[member_digest::bucket_of(entry.hash)] ^=
+            member_digest::row_digest(&entry.row) ^ member_digest::row_digest(&row);
         entry.row = row;
         entry.sends_left = CHANGE_SENDS;
     }
@@ -392,33 +377,12 @@
     peer_message::AgedRow { row: entry.row.clone(), age }
 }
 
-fn bucket_of(hash: u64) -> usize {
-    usize::try_from(hash >> BUCKET_SHIFT).expect("a bucket number has six bits")
-}
-
 fn bucket_entries(
     entries: &mut [member_row::MemberEntry],
     bucket: usize,
 ) -> impl Iterator<Item = &mut member_row::MemberEntry> {
-    let start = entries.partition_point(|entry| bucket_of(entry.hash) < bucket);
-    entries[start..].iter_mut().take_while(move |entry| bucket_of(entry.hash) == bucket)
-}
-
-fn name_hash(name: &str) -> u64 {
-    xxh3::xxh3_64(name.as_bytes())
-}
-
-/// Digest of a row; 0 for a row from the list, which not all nodes have.
-fn row_digest(row: &member_row::MemberRow) -> u32 {
-    if row.incarnation == 0 {
-        return 0;
-    }
-    let mut hasher = xxh3::Xxh3::with_seed(row.incarnation);
-    hasher.update(&[u8::from(row.leaving)]);
-    hasher.update(&member_row::address_bytes(&row.address));
-    hasher.update(&member_row::address_bytes(&row.peer_address));
-    hasher.update(row.name.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(row.data_centre.as_bytes());
-    hasher.digest() as u32
+    let start = entries.partition_point(|entry| member_digest::bucket_of(entry.hash) < bucket);
+    entries[start..]
+        .iter_mut()
+        .take_while(move |entry| member_digest::bucket_of(entry.hash) == bucket)
 }
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -8,13 +8,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{config_change, config_snapshot, ids, instance_list, member_age, member_row, records};
-
-/// Buckets of the member table, each with its own digest.
-pub const DIGEST_BUCKETS: usize = 64;
-
-/// Digest of each bucket of a member table.
-pub type TableDigest = [u32; DIGEST_BUCKETS];
+use crate::{
+    config_change, config_snapshot, ids, instance_list, member_age, member_digest, member_row,
+    records,
+};
 
 /// What every heartbeat and its reply say about the sender.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -48,7 +45,7 @@
     /// Own row and changed rows, at most 32 of those.
     pub rows: Vec<AgedRow>,
     /// Digests of the sender's table.
-    pub digests: TableDigest,
+    pub digests: member_digest::TableDigest,
 }
 
 /// Reply to a heartbeat.
--- a/src/peer_wire.rs
+++ b/src/peer_wire.rs
@@ -7,7 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::peer_capnp as capnp_schema;
-use crate::{member_age, member_row, peer_message};
+use crate::{member_age, member_digest, member_row, peer_message};
 
 /// Milliseconds that stand for an absent age.
 const NO_AGE_MS: u32 = u32::MAX;
@@ -34,7 +34,7 @@
     reader: capnp_schema::heartbeat::Reader<'_>,
 ) -> capnp::Result<peer_message::Heartbeat> {
     let list = reader.get_digests()?;
-    let mut digests: peer_message::TableDigest = [0; peer_message::DIGEST_BUCKETS];
+    let mut digests: member_digest::TableDigest = [0; member_digest::DIGEST_BUCKETS];
     if list.len() != list_length(digests.len()) {
         return Err(capnp::Error::failed(format!("{} digests", list.len())));
     }
--- a/tests/chat_client.rs
+++ b/tests/chat_client.rs
@@ -1,6 +1,6 @@
 //! An off-the-shelf chat client works unchanged, whole and streamed.
 
-mod support;
+mod whole_path;
 
 use async_openai::config::OpenAIConfig;
 use async_openai::types::chat::{
@@ -18,15 +18,15 @@
         .unwrap()
 }
 
-fn client(path: &support::WholePath) -> async_openai::Client<OpenAIConfig> {
-    let config = OpenAIConfig::new().with_api_base(path.url("/v1")).with_api_key(support::TOKEN);
+fn client(path: &whole_path::WholePath) -> async_openai::Client<OpenAIConfig> {
+    let config = OpenAIConfig::new().with_api_base(path.url("/v1")).with_api_key(whole_path::TOKEN);
     async_openai::Client::with_config(config)
 }
 
 /// Guards against replies that the usual client library cannot read.
 #[tokio::test]
 async fn whole_and_streamed_answers_are_equal() {
-    let path = support::start().await;
+    let path = whole_path::start().await;
     let client = client(&path);
     let whole = client.chat().create(request("hello")).await.unwrap();
     let text = whole.choices[0].message.content.clone().unwrap();
--- a/tests/request_faults.rs
+++ b/tests/request_faults.rs
@@ -1,6 +1,6 @@
 //! Faults of a backend server during one chat request, whole and streamed.
 
-mod support;
+mod whole_path;
 
 use serde_json::{Value, json};
 use yuccareel::records::model::VersionState;
@@ -23,11 +23,11 @@
     done: bool,
 }
 
-async fn ask(path: &support::WholePath, stream: bool) -> Reply {
+async fn ask(path: &whole_path::WholePath, stream: bool) -> Reply {
     let body = json!({ "model": "small", "stream": stream,
         "messages": [{ "role": "user", "content": "hello" }] });
     let request = reqwest::Client::new().post(path.url("/v1/chat/completions"));
-    let reply = request.bearer_auth(support::TOKEN).json(&body).send().await.unwrap();
+    let reply = request.bearer_auth(whole_path::TOKEN).json(&body).send().await.unwrap();
     let status = reply.status().as_u16();
     let body = reply.text().await.unwrap();
     if !stream || status != 200 {
@@ -88,7 +88,7 @@
     ];
     for case in &cases {
         for stream in [false, true] {
-            let path = support::start().await;
+            let path = whole_path::start().await;
             for placed in &path.platform.engines {
                 *placed.engine.faults.lock() = case.faults.clone();
             }
@@ -113,7 +113,7 @@
 async fn refusals_say_truly_whether_the_request_ran() {
     struct Case {
         name: &'static str,
-        prepare: fn(&support::WholePath),
+        prepare: fn(&whole_path::WholePath),
         code: &'static str,
         ran: &'static str,
     }
@@ -156,7 +156,7 @@
         },
     ];
     for case in &cases {
-        let path = support::start().await;
+        let path = whole_path::start().await;
         (case.prepare)(&path);
         let error = ask(&path, false).await.error.expect(case.name);
         assert_eq!(error["code"], case.code, "{}", case.name);
@@ -178,7 +178,7 @@
         code: &'static str,
     }
     let good = r#"{"model":"small","messages":[{"role":"user","content":"x"}]}"#;
-    let token = Some(support::TOKEN);
+    let token = Some(whole_path::TOKEN);
     let case = |name, token, body: &str, status, code| Case {
         name,
         token,
@@ -195,7 +195,7 @@
         case("unknown model", token, &good.replace("small", "huge"), 404, "model_unknown"),
         case("large body", token, &"x".repeat(65 << 10), 413, "body_too_large"),
     ];
-    let path = support::start().await;
+    let path = whole_path::start().await;
     let http = reqwest::Client::new();
     for case in &cases {
         let mut request = http.post(path.url("/v1/chat/completions")).body(case.body.clone());
