--- /dev/null
+++ b/src/member_row.rs
@@ -0,0 +1,98 @@
+//! Row of one node, as nodes write it about themselves and pass it on.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::ids;
+
+/// Age after which a node that was not heard of is suspect.
+pub const SUSPECT_AFTER: Duration = Duration::from_secs(5);
+/// Age after which a node that was not heard of is dead.
+pub const DEAD_AFTER: Duration = Duration::from_secs(10);
+
+/// What a node states about itself.
+///
+/// Of two rows with one name the greater one is newer: the incarnation decides,
+/// then leaving, which a node never takes back. The remaining fields only make
+/// the order total, so that all nodes keep the same row.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MemberRow {
+    /// Number of the node's start; 0 while the node is known from the list only.
+    pub incarnation: u64,
+    /// Whether the node takes no more work.
+    pub leaving: bool,
+    /// Unique name.
+    pub name: ids::InstanceName,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Address for calls between nodes.
+    pub peer_address: SocketAddr,
+    /// Data centre.
+    pub data_centre: ids::DataCentreName,
+}
+
+/// Octets of an address followed by its port: 6 bytes for IPv4, 18 for IPv6.
+pub fn address_bytes(address: &SocketAddr) -> SmallVec<[u8; 18]> {
+    let mut bytes = SmallVec::new();
+    match address.ip() {
+        IpAddr::V4(ip) => bytes.extend_from_slice(&ip.octets()),
+        IpAddr::V6(ip) => bytes.extend_from_slice(&ip.octets()),
+    }
+    bytes.extend_from_slice(&address.port().to_be_bytes());
+    bytes
+}
+
+/// State of a node as this node judges it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberState {
+    /// Heard of lately.
+    Live,
+    /// Heard of lately, takes no more work.
+    Leaving,
+    /// Not heard of for 5 s.
+    Suspect,
+    /// Not heard of for 10 s.
+    Dead,
+}
+
+/// Row with the times at which this node learned of it.
+#[derive(Clone, Debug)]
+pub struct MemberEntry {
+    /// What the node states about itself.
+    pub row: MemberRow,
+    /// Whether the last instance list read contains the node.
+    pub listed: bool,
+    /// Latest time at which the node is believed to have lived.
+    pub heard_at: Duration,
+    /// Latest time at which the node provably took part in an answered heartbeat,
+    /// with this node or with one that passed the age on.
+    pub exchanged_at: Option<Duration>,
+    /// Heartbeats that still carry the row as a changed one.
+    pub(crate) sends_left: u8,
+    pub(crate) hash: u64,
+}
+
+impl MemberEntry {
+    /// State at a time.
+    pub fn state(&self, now: Duration) -> MemberState {
+        match now.saturating_sub(self.heard_at) {
+            age if age >= DEAD_AFTER => MemberState::Dead,
+            age if age >= SUSPECT_AFTER => MemberState::Suspect,
+            _ if self.row.leaving => MemberState::Leaving,
+            _ => MemberState::Live,
+        }
+    }
+
+    /// Notes that the node lived at a time.
+    pub(crate) fn hear(&mut self, at: Duration) {
+        self.heard_at = self.heard_at.max(at);
+    }
+
+    /// Notes that the node took part in an answered heartbeat at a time.
+    pub(crate) fn exchange(&mut self, at: Duration) {
+        self.hear(at);
+        self.exchanged_at = self.exchanged_at.max(Some(at));
+    }
+}
--- /dev/null
+++ b/src/member_table.rs
@@ -0,0 +1,388 @@
+//! Nodes known from the instance list and from heartbeats.
+//!
+//! Rows spread in both directions of a heartbeat and are merged by incarnation.
+//! Ages are taken as proof of an exchange only from replies, because only the
+//! caller can bound the transit time: a reply proves its ages for the moment at
+//! which the request was sent. Rows are spread over 64 buckets by the hash of
+//! their name. Buckets with equal digests hold the same rows, so their ages need
+//! no names; for the others the replier sends whole rows.
+
+use std::time::Duration;
+
+use crate::{
+    ids, instance_list, member_age, member_digest, member_reach, member_row, peer_message,
+};
+
+/// Rows in a heartbeat besides the sender's own.
+pub const CHANGED_ROWS: usize = 32;
+/// Age after which an unlisted node is forgotten. Well above the age of death, so
+/// that no node still passes the row on and brings it back.
+pub const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// Heartbeats that carry a row after it changed: four rounds of three. Nodes that
+/// are missed find the change by the digest.
+const CHANGE_SENDS: u8 = 12;
+
+/// Nodes known to this node.
+#[derive(Clone, Debug)]
+pub struct MemberTable {
+    own: ids::InstanceName,
+    own_hash: u64,
+    /// In the order of hash and name.
+    entries: Vec<member_row::MemberEntry>,
+    /// Per bucket, the combined digest of the rows that nodes wrote themselves.
+    digests: member_digest::TableDigest,
+    /// Bucket at which the next reply starts to fill in differing rows.
+    next_bucket: usize,
+}
+
+impl MemberTable {
+    /// Table of a node that knows only itself.
+    ///
+    /// The incarnation must exceed that of an earlier start under the same name;
+    /// the wall clock in milliseconds does. One of 0 is raised to 1.
+    pub fn new(mut own: member_row::MemberRow, now: Duration) -> Self {
+        own.incarnation = own.incarnation.max(1);
+        let own_hash = member_digest::name_hash(&own.name);
+        let mut table = Self {
+            own: own.name.clone(),
+            own_hash,
+            entries: Vec::new(),
+            digests: [0; member_digest::DIGEST_BUCKETS],
+            next_bucket: member_digest::bucket_of(own_hash),
+        };
+        table.insert(own, now);
+        table
+    }
+
+    /// Name of this node.
+    pub fn own_name(&self) -> &ids::InstanceName {
+        &self.own
+    }
+
+    /// Entry of this node.
+    pub fn own_entry(&self) -> &member_row::MemberEntry {
+        &self.entries[self.own_position()]
+    }
+
+    /// All entries, this node's included.
+    pub fn entries(&self) -> &[member_row::MemberEntry] {
+        &self.entries
+    }
+
+    /// Entry of a name.
+    pub fn find(&self, name: &str) -> Option<&member_row::MemberEntry> {
+        self.position(member_digest::name_hash(name), name)
+            .ok()
+            .map(|position| &self.entries[position])
+    }
+
+    /// Digest of each bucket.
+    pub fn digests(&self) -> &member_digest::TableDigest {
+        &self.digests
+    }
+
+    /// Members of the last list read, and those reached within 3 s.
+    pub fn reach(&self, now: Duration) -> member_reach::MemberReach {
+        let mut reach = member_reach::MemberReach::default();
+        for entry in self.entries.iter().filter(|entry| entry.listed) {
+            reach.listed += 1;
+            let recent = |at: Duration| now.saturating_sub(at) <= member_reach::REACH_WINDOW;
+            if entry.row.name == self.own || entry.exchanged_at.is_some_and(recent) {
+                reach.exchanged += 1;
+            }
+        }
+        reach
+    }
+
+    /// Announces in all further heartbeats that this node is leaving.
+    pub fn announce_leaving(&mut self) {
+        let position = self.own_position();
+        let mut row = self.entries[position].row.clone();
+        row.leaving = true;
+        self.replace(position, row);
+    }
+
+    /// Heartbeat to one target, to be sent now.
+    pub fn heartbeat(
+        &mut self,
+        now: Duration,
+        status: peer_message::NodeStatus,
+    ) -> peer_message::Heartbeat {
+        let mut rows = vec![self.own_row(now)];
+        for entry in &mut self.entries {
+            if rows.len() > CHANGED_ROWS {
+                break;
+            }
+            if entry.sends_left > 0 && entry.row.name != self.own && passed_on(entry, now) {
+                entry.sends_left -= 1;
+                rows.push(aged_row(entry, now));
+            }
+        }
+        peer_message::Heartbeat { sender: self.own.clone(), status, rows, digests: self.digests }
+    }
+
+    /// Merges a heartbeat received now and returns the reply.
+    pub fn receive(
+        &mut self,
+        now: Duration,
+        heartbeat: &peer_message::Heartbeat,
+        status: peer_message::NodeStatus,
+    ) -> peer_message::HeartbeatReply {
+        for aged in &heartbeat.rows {
+            self.merge_row(aged, now, member_row::MemberEntry::hear);
+        }
+        let rows = self.reply_rows(now, &heartbeat.digests);
+        let (matching, ages) = self.matching_ages(now, &heartbeat.digests);
+        peer_message::HeartbeatReply { status, rows, matching, ages }
+    }
+
+    /// Merges the reply to a heartbeat.
+    pub fn merge_reply(
+        &mut self,
+        sent_at: Duration,
+        sent: &peer_message::Heartbeat,
+        reply: &peer_message::HeartbeatReply,
+    ) {
+        self.merge_ages(sent_at, &sent.digests, reply);
+        for aged in &reply.rows {
+            self.merge_row(aged, sent_at, member_row::MemberEntry::exchange);
+        }
+    }
+
+    /// Merges the entry instances of an instance list read now.
+    ///
+    /// A listed instance is known before its first heartbeat. `Leaving` is obeyed
+    /// at once; `Live` says nothing, because the list lags.
+    pub fn merge_list(&mut self, now: Duration, list: &[instance_list::ListedInstance]) {
+        for entry in &mut self.entries {
+            entry.listed = false;
+        }
+        for listed in list {
+            self.merge_listed(now, listed);
+        }
+        let own = self.own.clone();
+        self.entries
+            .retain(|entry| entry.listed || entry.row.incarnation > 0 || entry.row.name == own);
+    }
+
+    /// Removes nodes that are not listed and were not heard of for 60 s.
+    pub fn forget_dead(&mut self, now: Duration) {
+        let (own, digests) = (&self.own, &mut self.digests);
+        self.entries.retain(|entry| {
+            let expired = now.saturating_sub(entry.heard_at) >= FORGET_AFTER;
+            let kept = entry.listed || !expired || entry.row.name == *own;
+            if !kept {
+                digests[member_digest::bucket_of(entry.hash)] ^=
+                    member_digest::row_digest(&entry.row);
+            }
+            kept
+        });
+    }
+
+    fn merge_listed(&mut self, now: Duration, listed: &instance_list::ListedInstance) {
+        let (instance_list::InstanceRole::Entry, Some(peer_address)) =
+            (&listed.role, listed.peer_address)
+        else {
+            return;
+        };
+        let row = member_row::MemberRow {
+            incarnation: 0,
+            leaving: listed.state == instance_list::InstanceState::Leaving,
+            name: listed.name.clone(),
+            address: listed.address,
+            peer_address,
+            data_centre: listed.data_centre.clone(),
+        };
+        let position = match self.position(member_digest::name_hash(&row.name), &row.name) {
+            Ok(position) => position,
+            Err(_) => self.insert(row.clone(), now),
+        };
+        self.entries[position].listed = true;
+        let known = &self.entries[position].row;
+        if known.incarnation == 0 {
+            self.entries[position].row = row;
+        } else if row.leaving && !known.leaving && known.peer_address == row.peer_address {
+            let left = member_row::MemberRow { leaving: true, ..known.clone() };
+            self.replace(position, left);
+        }
+    }
+
+    /// Merges one row; `note` records the time at which its node lived.
+    fn merge_row(
+        &mut self,
+        aged: &peer_message::AgedRow,
+        reference: Duration,
+        note: fn(&mut member_row::MemberEntry, Duration),
+    ) {
+        let row = &aged.row;
+        if row.incarnation == 0 {
+            return;
+        }
+        let position = match self.position(member_digest::name_hash(&row.name), &row.name) {
+            Ok(position) if row.name == self.own => return self.merge_own(position, row),
+            Ok(position) if self.entries[position].row.incarnation > row.incarnation => return,
+            Ok(position) => position,
+            Err(_) => self.insert(row.clone(), reference),
+        };
+        if self.entries[position].row < *row {
+            self.replace(position, row.clone());
+        }
+        if let Some(at) = aged.age.time_before(reference) {
+            note(&mut self.entries[position], at);
+        }
+    }
+
+    /// Outbids a row of an earlier start of this node; obeys the list's `Leaving`.
+    fn merge_own(&mut self, position: usize, row: &member_row::MemberRow) {
+        let own = &self.entries[position].row;
+        if row.incarnation > own.incarnation {
+            let outbid = member_row::MemberRow { incarnation: row.incarnation + 1, ..own.clone() };
+            self.replace(position, outbid);
+        } else if row.incarnation == own.incarnation && row.leaving && !own.leaving {
+            let left = member_row::MemberRow { leaving: true, ..own.clone() };
+            self.replace(position, left);
+        }
+    }
+
+    fn merge_ages(
+        &mut self,
+        sent_at: Duration,
+        sent: &member_digest::TableDigest,
+        reply: &peer_message::HeartbeatReply,
+    ) {
+        let mut rest = reply.ages.as_slice();
+        for bucket in (0..member_digest::DIGEST_BUCKETS).filter(|b| reply.matching >> b & 1 == 1) {
+            let Some((&count, tail)) = rest.split_first() else { return };
+            let Some((ages, tail)) = tail.split_at_checked(usize::from(count)) else { return };
+            rest = tail;
+            // The table may have changed while the heartbeat was under way.
+            if self.digests[bucket] != sent[bucket] {
+                continue;
+            }
+            let entries = bucket_entries(&mut self.entries, bucket);
+            for (entry, &byte) in entries.filter(|entry| entry.row.incarnation > 0).zip(ages) {
+                if let Some(at) = member_age::MemberAge::from_byte(byte).time_before(sent_at) {
+                    entry.exchange(at);
+                }
+            }
+        }
+    }
+
+    /// Own row, then rows of buckets that differ, then changed rows.
+    fn reply_rows(
+        &mut self,
+        now: Duration,
+        other: &member_digest::TableDigest,
+    ) -> Vec<peer_message::AgedRow> {
+        let mut rows = vec![self.own_row(now)];
+        let start = self.next_bucket;
+        for offset in 0..member_digest::DIGEST_BUCKETS {
+            let bucket = (start + offset) % member_digest::DIGEST_BUCKETS;
+            if self.digests[bucket] == other[bucket] {
+                continue;
+            }
+            self.next_bucket = (bucket + 1) % member_digest::DIGEST_BUCKETS;
+            for entry in bucket_entries(&mut self.entries, bucket) {
+                if rows.len() > CHANGED_ROWS {
+                    return rows;
+                }
+                if entry.row.name != self.own && passed_on(entry, now) {
+                    rows.push(aged_row(entry, now));
+                }
+            }
+        }
+        rows
+    }
+
+    fn matching_ages(
+        &mut self,
+        now: Duration,
+        other: &member_digest::TableDigest,
+    ) -> (u64, Vec<u8>) {
+        self.touch_own(now);
+        let (mut matching, mut ages) = (0, Vec::with_capacity(self.entries.len()));
+        for (bucket, digest) in other.iter().enumerate() {
+            if self.digests[bucket] != *digest {
+                continue;
+            }
+            let start = ages.len();
+            ages.push(0);
+            let entries = bucket_entries(&mut self.entries, bucket);
+            ages.extend(
+                entries
+                    .filter(|entry| entry.row.incarnation > 0)
+                    .map(|entry| member_age::MemberAge::since(entry.exchanged_at, now).byte()),
+            );
+            match u8::try_from(ages.len() - start - 1) {
+                Ok(count) if count > 0 => {
+                    ages[start] = count;
+                    matching |= 1 << bucket;
+                }
+                _ => ages.truncate(start),
+            }
+        }
+        (matching, ages)
+    }
+
+    fn own_row(&mut self, now: Duration) -> peer_message::AgedRow {
+        self.touch_own(now);
+        aged_row(self.own_entry(), now)
+    }
+
+    fn touch_own(&mut self, now: Duration) {
+        let position = self.own_position();
+        self.entries[position].exchange(now);
+    }
+
+    fn own_position(&self) -> usize {
+        self.position(self.own_hash, &self.own).expect("the own row is never removed")
+    }
+
+    fn position(&self, hash: u64, name: &str) -> Result<usize, usize> {
+        self.entries.binary_search_by(|entry| (entry.hash, &*entry.row.name).cmp(&(hash, name)))
+    }
+
+    fn insert(&mut self, row: member_row::MemberRow, heard_at: Duration) -> usize {
+        let hash = member_digest::name_hash(&row.name);
+        let position = self.position(hash, &row.name).unwrap_or_else(|position| position);
+        self.digests[member_digest::bucket_of(hash)] ^= member_digest::row_digest(&row);
+        let entry = member_row::MemberEntry {
+            row,
+            listed: false,
+            heard_at,
+            exchanged_at: None,
+            sends_left: CHANGE_SENDS,
+            hash,
+        };
+        self.entries.insert(position, entry);
+        position
+    }
+
+    fn replace(&mut self, position: usize, row: member_row::MemberRow) {
+        let entry = &mut self.entries[position];
+        self.digests[member_digest::bucket_of(entry.hash)] ^=
+            member_digest::row_digest(&entry.row) ^ member_digest::row_digest(&row);
+        entry.row = row;
+        entry.sends_left = CHANGE_SENDS;
+    }
+}
+
+/// Whether a row is passed on to other nodes.
+fn passed_on(entry: &member_row::MemberEntry, now: Duration) -> bool {
+    entry.row.incarnation > 0 && entry.state(now) != member_row::MemberState::Dead
+}
+
+fn aged_row(entry: &member_row::MemberEntry, now: Duration) -> peer_message::AgedRow {
+    let age = member_age::MemberAge::since(entry.exchanged_at, now);
+    peer_message::AgedRow { row: entry.row.clone(), age }
+}
+
+fn bucket_entries(
+    entries: &mut [member_row::MemberEntry],
+    bucket: usize,
+) -> impl Iterator<Item = &mut member_row::MemberEntry> {
+    let start = entries.partition_point(|entry| member_digest::bucket_of(entry.hash) < bucket);
+    entries[start..]
+        .iter_mut()
+        .take_while(move |entry| member_digest::bucket_of(entry.hash) == bucket)
+}
