--- a/src/cold_start.rs
+++ b/src/cold_start.rs
@@ -97,6 +97,17 @@
         self.limit < self.bounds.warm
     }
 
+    /// Last known start of the engine process.
+    pub fn boot(&self) -> Option<&ids::BootId> {
+        self.boot.as_ref()
+    }
+
+    /// Takes over the state that a former home kept.
+    pub fn restore(&mut self, limit: u32, boot: Option<ids::BootId>) {
+        self.limit = limit.clamp(self.bounds.cold, self.bounds.warm);
+        self.boot = boot;
+    }
+
     /// Takes over changed bounds from the record.
     pub fn set_bounds(&mut self, bounds: WarmupBounds) {
         let warm = !self.cold();
@@ -195,3 +206,22 @@
         false
     }
 }
+
+/// Answers of one replica in time, as this node counts them for the home.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AnswerCount {
+    /// Warm-up epoch to which the count belongs.
+    pub epoch: u64,
+    /// Answers whose requests were sent in that epoch.
+    pub answers: u64,
+}
+
+impl AnswerCount {
+    /// Counts an answer; `current` is the epoch of the share held now.
+    pub fn record(&mut self, sent_in: u64, current: u64) {
+        if self.epoch != current {
+            *self = Self { epoch: current, answers: 0 };
+        }
+        self.answers += u64::from(sent_in == current);
+    }
+}
--- /dev/null
+++ b/src/quota_home.rs
@@ -0,0 +1,356 @@
+//! Home of limited quantities: divides them into leased shares.
+//!
+//! The home of a resource is the live node with the highest rendezvous rank. It
+//! grants nothing until the shares of a former home have ended, unless that
+//! home handed them over, and it settles again after a pause or isolation,
+//! because another node may have been the home meanwhile.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use crate::quota_message::{GrantOutcome, ResourceKey, ResourceKind};
+use crate::{
+    cold_start, config_snapshot, ids, quota_message, quota_row, rendezvous, replica_table,
+    route_decision,
+};
+
+/// Gap between two calls above which the home settles again.
+///
+/// Others declare a silent node dead only after 10 s, so a shorter gap cost it no role.
+const MAX_GAP: Duration = Duration::from_secs(3);
+/// Time for which former member lists are kept: the longest settling time.
+const VIEWS_KEPT: Duration = Duration::from_secs(10);
+
+/// Configuration and replicas from which quantities follow.
+#[derive(Clone, Copy, Debug)]
+pub struct QuotaTables<'a> {
+    /// Configuration in effect.
+    pub snapshot: &'a config_snapshot::ConfigSnapshot,
+    /// Known replicas.
+    pub table: &'a replica_table::ReplicaTable,
+}
+
+/// Shares of all resources for which this node is the home.
+#[derive(Debug)]
+pub struct QuotaHome {
+    node: ids::InstanceName,
+    views: VecDeque<MemberView>,
+    rows: HashMap<ResourceKey, HomeRow>,
+    last_call: Duration,
+    resumed_at: Duration,
+    stopped: bool,
+    next_epoch: u64,
+}
+
+#[derive(Debug)]
+struct MemberView {
+    since: Duration,
+    members: Vec<ids::InstanceName>,
+}
+
+#[derive(Debug)]
+struct HomeRow {
+    shares: quota_row::QuotaRow,
+    warmup: Option<cold_start::WarmupState>,
+    epoch: u64,
+    role_since: Option<Duration>,
+    handover: Option<RowHandover>,
+}
+
+#[derive(Debug)]
+struct RowHandover {
+    from: ids::InstanceName,
+    at: Duration,
+}
+
+impl QuotaHome {
+    /// Home without shares; `incarnation` grows with each start under the same name.
+    pub fn new(node: ids::InstanceName, incarnation: u64, now: Duration) -> Self {
+        // Epochs of two homes must differ, or answers counted for one would warm the other.
+        let next_epoch = rendezvous::rank(&incarnation.to_string(), &node);
+        Self {
+            node,
+            views: VecDeque::new(),
+            rows: HashMap::new(),
+            last_call: now,
+            resumed_at: now,
+            stopped: false,
+            next_epoch,
+        }
+    }
+
+    /// Takes over a changed list of live members; call it at once on each change.
+    pub fn set_members(&mut self, members: &[ids::InstanceName], now: Duration) {
+        if self.views.back().is_some_and(|view| view.members == members) {
+            return;
+        }
+        self.views.push_back(MemberView { since: now, members: members.to_vec() });
+        while self.views.get(1).is_some_and(|next| now >= next.since + VIEWS_KEPT) {
+            self.views.pop_front();
+        }
+        for (resource, row) in &mut self.rows {
+            let former = row.role_since;
+            row.role_since = role_since(&self.views, &self.node, resource);
+            let home = rendezvous::home(&resource.hash_key(), members);
+            let from = row.handover.as_ref().map(|handover| &handover.from);
+            if row.role_since.is_none() && (former.is_some() || home != from) {
+                row.handover = None;
+            }
+        }
+    }
+
+    /// Ends leases and notices pauses; call it every 0.1 s to 1 s.
+    ///
+    /// `may_grant` is false while this node is isolated or shutting down.
+    pub fn tick(&mut self, may_grant: bool, now: Duration) {
+        if !may_grant || now > self.last_call + MAX_GAP {
+            self.resumed_at = now;
+        }
+        self.last_call = now;
+        let members = self.views.back().map_or(&[][..], |view| &view.members);
+        for row in self.rows.values_mut() {
+            row.shares.expire(now);
+            // A cold replica bears no error about a node that is only cut off.
+            if !row.warmup.as_ref().is_some_and(cold_start::WarmupState::cold) {
+                row.shares.forget_gone(|name| members.iter().any(|member| &**member == name));
+            }
+        }
+        self.rows.retain(|_, row| !row.shares.is_empty() || row.role_since.is_some());
+    }
+
+    /// Answers a renewal.
+    pub fn answer(
+        &mut self,
+        request: &quota_message::ShareRequest,
+        tables: QuotaTables<'_>,
+        may_grant: bool,
+        now: Duration,
+    ) -> quota_message::ShareReply {
+        self.tick(may_grant, now);
+        let outcomes = request.wants.iter().map(|want| quota_message::ShareGrant {
+            resource: want.resource.clone(),
+            outcome: self.grant(request, want, tables, may_grant, now),
+        });
+        quota_message::ShareReply { number: request.number, grants: outcomes.collect() }
+    }
+
+    fn grant(
+        &mut self,
+        request: &quota_message::ShareRequest,
+        want: &quota_message::ShareWant,
+        tables: QuotaTables<'_>,
+        may_grant: bool,
+        now: Duration,
+    ) -> GrantOutcome {
+        let (stopped, resumed_at) = (self.stopped, self.resumed_at);
+        let Some(row) = self.row(&want.resource, tables, now) else { return GrantOutcome::NoHome };
+        if row.role_since.is_none() {
+            return GrantOutcome::NoHome;
+        }
+        let Some(grown) = row.shares.record_want(request, want, now) else {
+            return GrantOutcome::NoHome;
+        };
+        if let Some(warmup) = &mut row.warmup
+            && want.period == row.epoch
+        {
+            let answers = u32::try_from(grown).unwrap_or(u32::MAX);
+            warmup.apply(cold_start::WarmupSign::Answers(answers), now);
+        }
+        if stopped || !may_grant || !row.ready(want.resource.kind, resumed_at, now) {
+            return GrantOutcome::NoHome;
+        }
+        let (quantity, cold) = row.quantity(&want.resource, tables);
+        let amount = row.shares.grant(&request.node, request.number, quantity, now);
+        GrantOutcome::Leased { amount, quantity, cold, epoch: row.epoch }
+    }
+
+    /// Applies a sign of a replica's warm-up state; returns whether it turned cold by it.
+    ///
+    /// The quantity falls at once; shares that are out end within one lease.
+    pub fn apply_sign(
+        &mut self,
+        replica: &ids::ReplicaName,
+        sign: cold_start::WarmupSign,
+        tables: QuotaTables<'_>,
+        now: Duration,
+    ) -> bool {
+        let resource = ResourceKey::new(ResourceKind::ReplicaConcurrency, replica.clone());
+        let epoch = self.next_epoch;
+        let Some(row) = self.row(&resource, tables, now) else { return false };
+        let Some(warmup) = &mut row.warmup else { return false };
+        let turned = warmup.apply(sign, now);
+        if turned {
+            row.epoch = epoch;
+            self.next_epoch = epoch.wrapping_add(1);
+        }
+        turned
+    }
+
+    /// Applies a load report: warm-up state, and use that no node reports any more.
+    pub fn apply_report(
+        &mut self,
+        replica: &ids::ReplicaName,
+        report: &replica_table::LoadReport,
+        tables: QuotaTables<'_>,
+        now: Duration,
+    ) -> bool {
+        let sign = cold_start::WarmupSign::Report { boot: report.boot.clone(), cold: report.cold };
+        let turned = self.apply_sign(replica, sign, tables, now);
+        let resource = ResourceKey::new(ResourceKind::ReplicaConcurrency, replica.clone());
+        if let Some(row) = self.rows.get_mut(&resource) {
+            let requests = u64::from(report.requests);
+            row.shares.limit_stale(requests, cold_start::REPORT_LAG, report.received_at);
+        }
+        turned
+    }
+
+    /// Stops granting and returns what the successors need, by successor.
+    pub fn hand_over(
+        &mut self,
+        now: Duration,
+    ) -> HashMap<ids::InstanceName, Vec<quota_message::ResourceHandover>> {
+        self.stopped = true;
+        let mut handovers: HashMap<_, Vec<_>> = HashMap::new();
+        let Some(view) = self.views.back() else { return handovers };
+        let others: Vec<_> = view.members.iter().filter(|name| **name != self.node).collect();
+        for (resource, row) in &mut self.rows {
+            if !row.ready(resource.kind, self.resumed_at, now) {
+                continue;
+            }
+            let members = others.iter().copied();
+            let Some(home) = rendezvous::home(&resource.hash_key(), members) else { continue };
+            let handover = quota_message::ResourceHandover {
+                resource: resource.clone(),
+                shares: row.shares.handed_shares(now),
+                warmup: row.handed_warmup(),
+            };
+            handovers.entry(home.clone()).or_default().push(handover);
+        }
+        handovers
+    }
+
+    /// Takes over the shares that a former home handed over on shutdown.
+    pub fn accept_handover(
+        &mut self,
+        from: &ids::InstanceName,
+        handovers: &[quota_message::ResourceHandover],
+        tables: QuotaTables<'_>,
+        now: Duration,
+    ) {
+        self.tick(true, now);
+        for handover in handovers {
+            let Some(row) = self.row(&handover.resource, tables, now) else { continue };
+            row.shares.accept_shares(&handover.shares, now);
+            row.handover = Some(RowHandover { from: from.clone(), at: now });
+            if let (Some(warmup), Some(handed)) = (&mut row.warmup, &handover.warmup) {
+                warmup.restore(handed.limit, handed.boot.clone());
+                row.epoch = handed.epoch;
+            }
+        }
+    }
+
+    /// Sum of the shares that may be in use.
+    pub fn outstanding(&mut self, resource: &ResourceKey, now: Duration) -> u64 {
+        self.rows.get_mut(resource).map_or(0, |row| row.shares.outstanding(now))
+    }
+
+    /// Row of a resource; none for a replica or customer that is not known.
+    fn row(
+        &mut self,
+        resource: &ResourceKey,
+        tables: QuotaTables<'_>,
+        now: Duration,
+    ) -> Option<&mut HomeRow> {
+        let bounds = match resource.kind {
+            ResourceKind::ReplicaConcurrency => {
+                let row = tables.table.find(&resource.name)?;
+                Some(route_decision::pool_bounds(tables.snapshot, &row.pool))
+            }
+            ResourceKind::CustomerRate
+            | ResourceKind::CustomerConcurrency
+            | ResourceKind::CustomerSpend => {
+                tables.snapshot.customers.get(&resource.name)?;
+                None
+            }
+        };
+        if !self.rows.contains_key(resource) {
+            let role_since = role_since(&self.views, &self.node, resource);
+            let warmup = bounds.map(|bounds| first_state(bounds, resource, tables, now));
+            let epoch = self.next_epoch;
+            self.next_epoch = epoch.wrapping_add(1);
+            let shares = quota_row::QuotaRow::new(resource.kind);
+            let row = HomeRow { shares, warmup, epoch, role_since, handover: None };
+            self.rows.insert(resource.clone(), row);
+        }
+        let row = self.rows.get_mut(resource)?;
+        if let (Some(warmup), Some(bounds)) = (&mut row.warmup, bounds) {
+            warmup.set_bounds(bounds);
+        }
+        Some(row)
+    }
+}
+
+impl HomeRow {
+    /// Whether no share of a former home can be out.
+    fn ready(&self, kind: ResourceKind, resumed_at: Duration, now: Duration) -> bool {
+        let Some(since) = self.role_since else { return false };
+        let handed = self.handover.as_ref().is_some_and(|handover| {
+            // A handover read soon after a pause may have waited in a buffer meanwhile.
+            resumed_at + quota_message::SHARE_LEASE <= handover.at
+                && since <= handover.at + kind.settling()
+        });
+        handed || now >= since.max(resumed_at) + kind.settling()
+    }
+
+    /// Whole quantity, and whether it is that of a cold replica.
+    fn quantity(&self, resource: &ResourceKey, tables: QuotaTables<'_>) -> (u64, bool) {
+        if let Some(warmup) = &self.warmup {
+            return (u64::from(warmup.limit()), warmup.cold());
+        }
+        let customer = tables.snapshot.customers.get(&resource.name);
+        let quantity = customer.map_or(0, |customer| match resource.kind {
+            ResourceKind::CustomerRate => (customer.limits.requests_per_s * 1_000.0) as u64,
+            ResourceKind::CustomerConcurrency => u64::from(customer.limits.concurrency),
+            ResourceKind::CustomerSpend => customer.limits.spend_per_day,
+            ResourceKind::ReplicaConcurrency => 0,
+        });
+        (quantity, false)
+    }
+
+    fn handed_warmup(&self) -> Option<quota_message::HandedWarmup> {
+        self.warmup.as_ref().map(|warmup| quota_message::HandedWarmup {
+            limit: warmup.limit(),
+            boot: warmup.boot().cloned(),
+            epoch: self.epoch,
+        })
+    }
+}
+
+/// State of a replica at its first use: cold, unless a report says otherwise.
+fn first_state(
+    bounds: cold_start::WarmupBounds,
+    resource: &ResourceKey,
+    tables: QuotaTables<'_>,
+    now: Duration,
+) -> cold_start::WarmupState {
+    let mut state = cold_start::WarmupState::new(bounds);
+    let report = tables.table.find(&resource.name).and_then(|row| row.report.as_ref());
+    if let Some(report) = report.filter(|report| now < report.received_at + cold_start::REPORT_LAG)
+    {
+        let sign = cold_start::WarmupSign::Report { boot: report.boot.clone(), cold: report.cold };
+        state.apply(sign, now);
+    }
+    state
+}
+
+/// Time since which a node is the home without interruption, in its own view.
+fn role_since(
+    views: &VecDeque<MemberView>,
+    node: &ids::InstanceName,
+    resource: &ResourceKey,
+) -> Option<Duration> {
+    let key = resource.hash_key();
+    let held = views.iter().rev();
+    let held = held.take_while(|view| rendezvous::home(&key, &view.members) == Some(node));
+    held.last().map(|view| view.since)
+}
--- a/src/quota_lease.rs
+++ b/src/quota_lease.rs
@@ -15,6 +15,14 @@
 /// Requests whose replies are still accepted, per home.
 const SENT_KEPT: usize = 8;
 
+/// Time without any answer after which a node acts as without a home.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a node renews after its last demand.
+///
+/// The home counts a share as in use until it hears otherwise, so the end of the use is
+/// reported several times in case messages are lost.
+const IDLE_RENEWALS: Duration = Duration::from_secs(6);
+
 /// Use of one resource by this node, as sent with the next renewal.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ShareUse {
@@ -43,6 +51,8 @@
         cold: bool,
         /// Total use when the request was sent.
         used_at_send: u64,
+        /// Warm-up epoch of the replica.
+        epoch: u64,
     },
     /// No home, or no answer within the lease.
     NoHome,
@@ -63,14 +73,30 @@
     use_now: ShareUse,
     share: Option<LeasedShare>,
     answered: bool,
+    asked_at: Option<Duration>,
+    demand_at: Duration,
+}
+
+impl ShareRow {
+    /// Whether the first exchange may still be under way.
+    fn awaits_answer(&self, now: Duration) -> bool {
+        !self.answered && self.asked_at.is_none_or(|asked_at| now < asked_at + ASK_TIMEOUT)
+    }
+
+    /// Whether the home needs to hear of this row.
+    fn needs_renewal(&self, now: Duration) -> bool {
+        self.use_now.wanted > 0 || self.use_now.in_use > 0 || now < self.demand_at + IDLE_RENEWALS
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
 struct LeasedShare {
+    number: u64,
     amount: u64,
     quantity: u64,
     cold: bool,
     used_at_send: u64,
+    epoch: u64,
     expires_at: Duration,
 }
 
@@ -107,6 +133,9 @@
     ) -> bool {
         let row = self.rows[kind as usize].entry(name.clone()).or_default();
         let former = std::mem::replace(&mut row.use_now, use_now);
+        if use_now.wanted > 0 || use_now.in_use > 0 {
+            row.demand_at = now;
+        }
         let held = row.share.filter(|share| now < share.expires_at).map_or(0, |share| share.amount);
         use_now.wanted > held && (former.wanted == 0 || former.wanted <= held)
     }
@@ -124,12 +153,10 @@
     ) -> Vec<(ids::InstanceName, quota_message::ShareRequest)> {
         let mut wants: HashMap<ids::InstanceName, SmallVec<[_; 4]>> = HashMap::new();
         for kind in quota_message::ResourceKind::ALL {
-            for (name, row) in &self.rows[kind as usize] {
+            let rows = self.rows[kind as usize].iter_mut();
+            for (name, row) in rows.filter(|(_, row)| row.needs_renewal(now)) {
                 let resource = quota_message::ResourceKey::new(kind, name.clone());
-                let demand = row.use_now.wanted > 0 || row.use_now.in_use > 0;
-                if !demand && row.share.is_none_or(|share| now >= share.expires_at) {
-                    continue;
-                }
+                row.asked_at.get_or_insert(now);
                 if let Some(home) = rendezvous::home(&resource.hash_key(), members) {
                     wants.entry(home.clone()).or_default().push(want(resource, row.use_now));
                 }
@@ -174,12 +201,18 @@
             let Some(row) = rows.get_mut(&grant.resource.name) else { continue };
             row.answered = true;
             // Without a home the share of the former one stays valid until its lease ends.
-            if let quota_message::GrantOutcome::Leased { amount, quantity, cold } = grant.outcome {
+            let newer = row.share.is_none_or(|share| share.number < reply.number);
+            if let quota_message::GrantOutcome::Leased { amount, quantity, cold, epoch } =
+                grant.outcome
+                && newer
+            {
                 let used = sent.used.iter().find(|(resource, _)| *resource == grant.resource);
                 row.share = Some(LeasedShare {
+                    number: reply.number,
                     amount,
                     quantity,
                     cold,
+                    epoch,
                     used_at_send: used.map_or(0, |(_, used)| *used),
                     expires_at: sent.sent_at + quota_message::SHARE_LEASE,
                 });
@@ -187,6 +220,15 @@
         }
     }
 
+    /// Stops using a replica that this node found cold, before its home answers.
+    pub fn withdraw(&mut self, replica: &str) {
+        let kind = quota_message::ResourceKind::ReplicaConcurrency;
+        let row = self.rows[kind as usize].get_mut(replica);
+        if let Some(share) = row.and_then(|row| row.share.as_mut()) {
+            (share.amount, share.cold) = (0, true);
+        }
+    }
+
     /// What the node may use of a resource now.
     pub fn state(
         &self,
@@ -201,8 +243,9 @@
                 quantity: share.quantity,
                 cold: share.cold,
                 used_at_send: share.used_at_send,
+                epoch: share.epoch,
             },
-            None if !row.answered => ShareState::Unasked,
+            None if row.awaits_answer(now) => ShareState::Unasked,
             Some(_) | None => ShareState::NoHome,
         }
     }
--- a/src/quota_message.rs
+++ b/src/quota_message.rs
@@ -93,9 +93,12 @@
     pub wanted: u64,
     /// Quantity occupied by running requests.
     pub in_use: u64,
-    /// Total so far: microcredits spent in the period, or answers in time for a replica.
+    /// Total within the period: microcredits spent, or answers of a replica in time.
     pub used: u64,
-    /// Day to which `used` of a spend limit belongs; 0 for other kinds.
+    /// Day of a spend limit, warm-up epoch of a replica, 0 for other kinds.
+    ///
+    /// An answer counts for the epoch in which its request was sent, so that answers of an
+    /// engine process that is gone warm up nothing.
     pub period: u64,
 }
 
@@ -143,6 +146,8 @@
         quantity: u64,
         /// Whether the replica is cold.
         cold: bool,
+        /// Warm-up epoch of the replica; changes each time that it turns cold.
+        epoch: u64,
     },
     /// The node that was asked is not the home, settles, or is isolated.
     NoHome,
@@ -155,6 +160,19 @@
     pub resource: ResourceKey,
     /// Outstanding shares.
     pub shares: Vec<HandedShare>,
+    /// Warm-up state of a replica.
+    pub warmup: Option<HandedWarmup>,
+}
+
+/// Warm-up state of a replica that changes its home.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HandedWarmup {
+    /// Concurrency now.
+    pub limit: u32,
+    /// Last known start of its engine process.
+    pub boot: Option<ids::BootId>,
+    /// Warm-up epoch.
+    pub epoch: u64,
 }
 
 /// Outstanding share of one node.
@@ -166,10 +184,8 @@
     pub incarnation: u64,
     /// Amount that may be in use.
     pub amount: u64,
-    /// Time until the lease ends.
-    pub remaining: Duration,
     /// Last known total.
     pub used: u64,
-    /// Day to which `used` belongs.
+    /// Period of the total.
     pub period: u64,
 }
--- /dev/null
+++ b/src/quota_row.rs
@@ -0,0 +1,290 @@
+//! Outstanding shares of one resource, as its home counts them.
+//!
+//! A share counts until the home can be sure that the node no longer uses it:
+//! until the node confirms a later share, or until the lease ends. Work that
+//! outlives the lease counts on until the node reports its use again.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::{ids, quota_message};
+
+/// Longest time for which unreported use counts; every request ends within it.
+const STALE_MAX: Duration = Duration::from_secs(600);
+/// Time after its last request for which a node's demand counts in the division.
+const DEMAND_KEPT: Duration = Duration::from_secs(4);
+/// Time for which a node keeps its only unit while others wait for one.
+const ROTATION: Duration = Duration::from_secs(4);
+
+/// Outstanding shares of one resource.
+#[derive(Clone, Debug)]
+pub struct QuotaRow {
+    kind: quota_message::ResourceKind,
+    shares: BTreeMap<ids::InstanceName, NodeShare>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct NodeShare {
+    incarnation: u64,
+    last_number: u64,
+    wanted: u64,
+    in_use: u64,
+    used: u64,
+    period: u64,
+    asked_at: Duration,
+    held_since: Option<Duration>,
+    last_held: Duration,
+    grants: SmallVec<[LeasedGrant; 3]>,
+    stale: Option<StaleUse>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LeasedGrant {
+    number: u64,
+    amount: u64,
+    expires_at: Duration,
+}
+
+/// Use that may go on after the lease ended without a word from the node.
+#[derive(Clone, Copy, Debug)]
+struct StaleUse {
+    amount: u64,
+    since: Duration,
+    /// First reply after the lease ended; a request that follows it reports the use.
+    reported_by: Option<u64>,
+    /// Whether the process that held the share is gone, so that nobody can report.
+    orphan: bool,
+}
+
+impl NodeShare {
+    fn outstanding(&self, kind: quota_message::ResourceKind) -> u64 {
+        let leased = self.grants.iter().map(|grant| grant.amount).max().unwrap_or(0);
+        if !kind.outlives_lease() {
+            return leased;
+        }
+        leased.max(self.in_use).max(self.stale.map_or(0, |stale| stale.amount))
+    }
+
+    fn expire(&mut self, kind: quota_message::ResourceKind, now: Duration) {
+        let ended = self.grants.iter().filter(|grant| now >= grant.expires_at);
+        let ended = ended.map(|grant| grant.amount).max();
+        self.grants.retain(|grant| now < grant.expires_at);
+        if let Some(amount) = ended.filter(|_| kind.outlives_lease()) {
+            self.add_stale(amount, now, false);
+        }
+        if self.stale.is_some_and(|stale| now >= stale.since + STALE_MAX) {
+            self.stale = None;
+            self.in_use = 0;
+        }
+    }
+
+    fn add_stale(&mut self, amount: u64, now: Duration, orphan: bool) {
+        let former = self.stale.map_or((0, false), |stale| (stale.amount, stale.orphan));
+        self.stale = Some(StaleUse {
+            amount: amount.max(former.0),
+            since: now,
+            reported_by: None,
+            orphan: orphan || former.1,
+        });
+    }
+
+    fn idle(&self, kind: quota_message::ResourceKind) -> bool {
+        self.outstanding(kind) == 0 && self.used == 0
+    }
+}
+
+impl QuotaRow {
+    /// Row without shares.
+    pub fn new(kind: quota_message::ResourceKind) -> Self {
+        Self { kind, shares: BTreeMap::new() }
+    }
+
+    /// Sum of all shares that may be in use.
+    pub fn outstanding(&mut self, now: Duration) -> u64 {
+        self.expire(now);
+        self.shares.values().map(|share| share.outstanding(self.kind)).sum()
+    }
+
+    /// Ends leases whose time is over and drops nodes without any trace.
+    pub fn expire(&mut self, now: Duration) {
+        for share in self.shares.values_mut() {
+            share.expire(self.kind, now);
+        }
+        let kind = self.kind;
+        self.shares.retain(|_, share| !share.idle(kind) || now < share.asked_at + DEMAND_KEPT);
+    }
+
+    /// Whether nothing is known of any node.
+    pub fn is_empty(&self) -> bool {
+        self.shares.is_empty()
+    }
+
+    /// Records what a node reports; none when the request is late or repeated.
+    ///
+    /// Returns the growth of the node's total within the same period.
+    pub fn record_want(
+        &mut self,
+        request: &quota_message::ShareRequest,
+        want: &quota_message::ShareWant,
+        now: Duration,
+    ) -> Option<u64> {
+        self.expire(now);
+        let share = self.shares.entry(request.node.clone()).or_default();
+        if request.incarnation < share.incarnation {
+            return None;
+        }
+        if request.incarnation > share.incarnation {
+            let former = share.outstanding(self.kind);
+            let (grants, stale) = (std::mem::take(&mut share.grants), share.stale);
+            *share = NodeShare {
+                incarnation: request.incarnation,
+                grants,
+                stale,
+                ..NodeShare::default()
+            };
+            if former > 0 && self.kind.outlives_lease() {
+                share.add_stale(former, now, true);
+            }
+        }
+        if request.number <= share.last_number {
+            return None;
+        }
+        share.last_number = request.number;
+        confirm(share, request.applied);
+        let known = if share.period == want.period { share.used } else { 0 };
+        (share.wanted, share.in_use) = (want.wanted, want.in_use);
+        (share.used, share.period) = (want.used, want.period);
+        share.asked_at = now;
+        Some(want.used.saturating_sub(known))
+    }
+
+    /// Grants a node its share of the quantity and counts it as outstanding.
+    pub fn grant(&mut self, node: &str, number: u64, quantity: u64, now: Duration) -> u64 {
+        let Some(share) = self.shares.get(node) else { return 0 };
+        let amount = self.amount(node, share, quantity, now);
+        let Some(share) = self.shares.get_mut(node) else { return 0 };
+        if let Some(stale) = &mut share.stale {
+            stale.reported_by.get_or_insert(number);
+        }
+        let expires_at = now + quota_message::SHARE_LEASE;
+        share.grants.push(LeasedGrant { number, amount, expires_at });
+        match amount {
+            0 => share.held_since = None,
+            _ => {
+                share.held_since.get_or_insert(now);
+                share.last_held = now;
+            }
+        }
+        amount
+    }
+
+    /// Share by demand, within what the others leave, growing by half of the rest.
+    fn amount(&self, node: &str, own: &NodeShare, quantity: u64, now: Duration) -> u64 {
+        let quantity = quantity.saturating_sub(self.spent(own.period));
+        let others = self.shares.iter().filter(|(name, _)| &***name != node);
+        let taken: u64 = others.clone().map(|(_, share)| share.outstanding(self.kind)).sum();
+        let free = quantity.saturating_sub(taken);
+        let asking = others.filter(|(_, share)| now < share.asked_at + DEMAND_KEPT);
+        let demand: u64 = asking.clone().map(|(_, share)| share.wanted).sum();
+        let target = divide(quantity, own.wanted, demand.saturating_add(own.wanted));
+        if target > 0 {
+            let current = own.grants.last().map_or(0, |grant| grant.amount).min(free);
+            // Half of the rest at a time leaves first shares for nodes that have not asked yet.
+            let growth = current + (free - current).div_ceil(2);
+            return target.min(growth);
+        }
+        let waiting = asking.filter(|(_, share)| {
+            share.wanted > 0 && share.outstanding(self.kind) == 0 && share.last_held < own.last_held
+        });
+        let waiting = waiting.count() as u64;
+        let turn_over = own.held_since.is_some_and(|since| waiting > 0 && now >= since + ROTATION);
+        let reserved = if own.held_since.is_some() { 0 } else { waiting };
+        u64::from(own.wanted > 0 && !turn_over && free > reserved)
+    }
+
+    /// Amount of a spend limit that is used up in the period.
+    fn spent(&self, period: u64) -> u64 {
+        if self.kind != quota_message::ResourceKind::CustomerSpend {
+            return 0;
+        }
+        let current = self.shares.values().filter(|share| share.period == period);
+        current.map(|share| share.used).sum()
+    }
+
+    /// Drops the use of nodes that are gone; what they may have spent stays spent.
+    pub fn forget_gone(&mut self, live: impl Fn(&str) -> bool) {
+        let occupied = |share: &NodeShare| share.in_use > 0 || share.stale.is_some();
+        let shares = self.shares.iter_mut();
+        for (_, share) in shares.filter(|(name, share)| occupied(share) && !live(name)) {
+            let lost = share.in_use.max(share.stale.map_or(0, |stale| stale.amount));
+            if self.kind == quota_message::ResourceKind::CustomerSpend {
+                share.used += lost;
+            }
+            (share.in_use, share.stale) = (0, None);
+        }
+    }
+
+    /// Bounds use that nobody reports by a load report that is newer than the end of its lease.
+    pub fn limit_stale(&mut self, requests: u64, lag: Duration, received_at: Duration) {
+        for share in self.shares.values_mut() {
+            if let Some(stale) = share.stale.filter(|stale| received_at >= stale.since + lag) {
+                share.in_use = share.in_use.min(requests);
+                let amount = stale.amount.min(requests);
+                share.stale = (amount > 0).then_some(StaleUse { amount, ..stale });
+            }
+        }
+    }
+
+    /// Outstanding shares for a successor.
+    pub fn handed_shares(&mut self, now: Duration) -> Vec<quota_message::HandedShare> {
+        self.expire(now);
+        let kind = self.kind;
+        let handed = self.shares.iter().map(|(node, share)| quota_message::HandedShare {
+            node: node.clone(),
+            incarnation: share.incarnation,
+            amount: share.outstanding(kind),
+            used: share.used,
+            period: share.period,
+        });
+        handed.collect()
+    }
+
+    /// Takes over the shares of a former home; each counts for one more lease.
+    pub fn accept_shares(&mut self, shares: &[quota_message::HandedShare], now: Duration) {
+        for handed in shares {
+            let share = self.shares.entry(handed.node.clone()).or_default();
+            share.incarnation = share.incarnation.max(handed.incarnation);
+            let expires_at = now + quota_message::SHARE_LEASE;
+            share.grants.push(LeasedGrant { number: 0, amount: handed.amount, expires_at });
+            if share.period <= handed.period && share.used < handed.used {
+                (share.used, share.period) = (handed.used, handed.period);
+            }
+        }
+    }
+}
+
+/// Voids what the node has replaced or reported, by the last reply that it applied.
+fn confirm(share: &mut NodeShare, applied: u64) {
+    // Only an exact match proves that the node replaced the earlier shares: the applied reply
+    // may have been about other resources.
+    if share.grants.iter().any(|grant| grant.number == applied) {
+        share.grants.retain(|grant| grant.number >= applied);
+    }
+    let reported = share.stale.is_some_and(|stale| {
+        !stale.orphan && stale.reported_by.is_some_and(|number| applied >= number)
+    });
+    if reported {
+        share.stale = None;
+    }
+}
+
+/// Part of a quantity by demand; all that is wanted when there is enough.
+fn divide(quantity: u64, wanted: u64, demand: u64) -> u64 {
+    if demand <= quantity {
+        return wanted;
+    }
+    let part = u128::from(quantity) * u128::from(wanted) / u128::from(demand);
+    u64::try_from(part).unwrap_or(u64::MAX)
+}
--- a/src/replica_subset.rs
+++ b/src/replica_subset.rs
@@ -67,7 +67,7 @@
 }
 
 /// Round trip between two data centres; 0 within one or where no record states it.
-fn distance(snapshot: &config_snapshot::ConfigSnapshot, from: &str, to: &str) -> u32 {
+pub fn distance(snapshot: &config_snapshot::ConfigSnapshot, from: &str, to: &str) -> u32 {
     if from == to {
         return 0;
     }
--- a/src/route_decision.rs
+++ b/src/route_decision.rs
@@ -62,6 +62,8 @@
     pub replica: replica_table::ReplicaIndex,
     /// Counts the attempt while it runs; holds its credit.
     pub in_flight: replica_table::InFlightGuard,
+    /// Warm-up epoch for which its answer counts.
+    pub epoch: u64,
 }
 
 /// Credit of this node at one replica.
@@ -73,6 +75,8 @@
     pub capacity: u32,
     /// Whether the replica is cold, or its state unknown.
     pub cold: bool,
+    /// Warm-up epoch; 0 without a home.
+    pub epoch: u64,
 }
 
 #[derive(Clone, Copy)]
@@ -101,7 +105,8 @@
         let in_flight = replica_table::InFlightGuard::new(&row.in_flight);
         // Counting first and comparing afterwards keeps concurrent decisions within the credit.
         if own_in_flight(row) <= best.credit.held {
-            return Ok(RouteDispatch { replica: best.index, in_flight });
+            let (replica, epoch) = (best.index, best.credit.epoch);
+            return Ok(RouteDispatch { replica, in_flight, epoch });
         }
         drop(in_flight);
         best = choose(tables, request, now, random)?;
@@ -250,12 +255,12 @@
 ) -> ReplicaCredit {
     let kind = quota_message::ResourceKind::ReplicaConcurrency;
     match shares.state(kind, &row.name, now) {
-        quota_lease::ShareState::Leased { amount, quantity, cold, .. } => {
+        quota_lease::ShareState::Leased { amount, quantity, cold, epoch, .. } => {
             let clamp = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
-            ReplicaCredit { held: clamp(amount), capacity: clamp(quantity).max(1), cold }
+            ReplicaCredit { held: clamp(amount), capacity: clamp(quantity).max(1), cold, epoch }
         }
         quota_lease::ShareState::Unasked => {
-            ReplicaCredit { held: 0, capacity: bounds.cold.max(1), cold: true }
+            ReplicaCredit { held: 0, capacity: bounds.cold.max(1), cold: true, epoch: 0 }
         }
         quota_lease::ShareState::NoHome => {
             // Only a recent report proves warmth when no home keeps the state.
@@ -264,7 +269,7 @@
             });
             let floor = bounds.warm / u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
             let (held, capacity) = if warm { (floor, bounds.warm) } else { (0, bounds.cold) };
-            ReplicaCredit { held, capacity: capacity.max(1), cold: !warm }
+            ReplicaCredit { held, capacity: capacity.max(1), cold: !warm, epoch: 0 }
         }
     }
 }
