--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,16 @@
 
 pub mod admission_queue;
 pub mod cold_start;
+pub mod bill_audit;
+pub mod bill_batch;
+pub mod bill_copies;
+pub mod bill_ledger;
+pub mod bill_line;
+pub mod claim_log;
+pub mod claim_record;
+pub mod claim_shard;
+pub mod claim_store;
+pub mod claim_table;
 pub mod config_change;
 pub mod config_log;
 pub mod config_snapshot;
