--- a/src/cold_start.rs
+++ b/src/cold_start.rs
@@ -108,6 +108,13 @@
         self.boot = boot;
     }
 
+    /// Forgets what was learned; the replica counts as cold until a sign says otherwise.
+    pub fn forget(&mut self) {
+        self.limit = self.bounds.cold;
+        self.answers = 0;
+        (self.boot, self.former_boot) = (None, None);
+    }
+
     /// Takes over changed bounds from the record.
     pub fn set_bounds(&mut self, bounds: WarmupBounds) {
         let warm = !self.cold();
--- a/src/quota_home.rs
+++ b/src/quota_home.rs
@@ -55,6 +55,8 @@
     epoch: u64,
     role_since: Option<Duration>,
     handover: Option<RowHandover>,
+    /// Whether it has granted since it took the role or resumed.
+    granting: bool,
 }
 
 #[derive(Debug)]
@@ -90,12 +92,17 @@
         }
         for (resource, row) in &mut self.rows {
             let former = row.role_since;
+            // A new role starts with an unknown number of requests at the replica.
+            row.granting &= former.is_some();
             row.role_since = role_since(&self.views, &self.node, resource);
             let home = rendezvous::home(&resource.hash_key(), members);
             let from = row.handover.as_ref().map(|handover| &handover.from);
             if row.role_since.is_none() && (former.is_some() || home != from) {
                 row.handover = None;
             }
+            if row.role_since.is_none() && former.is_some() {
+                row.forget_warmup(&mut self.next_epoch);
+            }
         }
     }
 
@@ -105,6 +112,10 @@
     pub fn tick(&mut self, may_grant: bool, now: Duration) {
         if !may_grant || now > self.last_call + MAX_GAP {
             self.resumed_at = now;
+            // Signs of cold replicas may have been missed.
+            for row in self.rows.values_mut() {
+                row.forget_warmup(&mut self.next_epoch);
+            }
         }
         self.last_call = now;
         let members = self.views.back().map_or(&[][..], |view| &view.members);
@@ -157,8 +168,10 @@
             warmup.apply(cold_start::WarmupSign::Answers(answers), now);
         }
         if stopped || !may_grant || !row.ready(want.resource.kind, resumed_at, now) {
+            row.granting = false;
             return GrantOutcome::NoHome;
         }
+        row.start_granting(&want.resource, tables, now);
         let (quantity, cold) = row.quantity(&want.resource, tables);
         let amount = row.shares.grant(&request.node, request.number, quantity, now);
         GrantOutcome::Leased { amount, quantity, cold, epoch: row.epoch }
@@ -249,6 +262,16 @@
         }
     }
 
+    /// Drops the rows of replicas and customers that are gone.
+    pub fn retain_known(&mut self, tables: QuotaTables<'_>) {
+        self.rows.retain(|resource, _| match resource.kind {
+            ResourceKind::ReplicaConcurrency => tables.table.find(&resource.name).is_some(),
+            ResourceKind::CustomerRate
+            | ResourceKind::CustomerConcurrency
+            | ResourceKind::CustomerSpend => tables.snapshot.customers.contains_key(&resource.name),
+        });
+    }
+
     /// Sum of the shares that may be in use.
     pub fn outstanding(&mut self, resource: &ResourceKey, now: Duration) -> u64 {
         self.rows.get_mut(resource).map_or(0, |row| row.shares.outstanding(now))
@@ -279,7 +302,8 @@
             let epoch = self.next_epoch;
             self.next_epoch = epoch.wrapping_add(1);
             let shares = quota_row::QuotaRow::new(resource.kind);
-            let row = HomeRow { shares, warmup, epoch, role_since, handover: None };
+            let row =
+                HomeRow { shares, warmup, epoch, role_since, handover: None, granting: false };
             self.rows.insert(resource.clone(), row);
         }
         let row = self.rows.get_mut(resource)?;
@@ -302,6 +326,26 @@
         handed || now >= since.max(resumed_at) + kind.settling()
     }
 
+    fn forget_warmup(&mut self, next_epoch: &mut u64) {
+        if let Some(warmup) = &mut self.warmup {
+            warmup.forget();
+            self.epoch = *next_epoch;
+            *next_epoch = next_epoch.wrapping_add(1);
+        }
+    }
+
+    /// Counts what a load report shows of nodes that have not reported to this home.
+    fn start_granting(&mut self, resource: &ResourceKey, tables: QuotaTables<'_>, now: Duration) {
+        if std::mem::replace(&mut self.granting, true) || self.handover.is_some() {
+            return;
+        }
+        let cold = self.warmup.as_ref().is_some_and(cold_start::WarmupState::cold);
+        let report = tables.table.find(&resource.name).and_then(|row| row.report.as_ref());
+        if let Some(report) = report.filter(|report| cold && recent(report, now)) {
+            self.shares.assume_unattributed(u64::from(report.requests), now);
+        }
+    }
+
     /// Whole quantity, and whether it is that of a cold replica.
     fn quantity(&self, resource: &ResourceKey, tables: QuotaTables<'_>) -> (u64, bool) {
         if let Some(warmup) = &self.warmup {
@@ -326,6 +370,10 @@
     }
 }
 
+fn recent(report: &replica_table::LoadReport, now: Duration) -> bool {
+    now < report.received_at + cold_start::REPORT_LAG
+}
+
 /// State of a replica at its first use: cold, unless a report says otherwise.
 fn first_state(
     bounds: cold_start::WarmupBounds,
@@ -335,8 +383,7 @@
 ) -> cold_start::WarmupState {
     let mut state = cold_start::WarmupState::new(bounds);
     let report = tables.table.find(&resource.name).and_then(|row| row.report.as_ref());
-    if let Some(report) = report.filter(|report| now < report.received_at + cold_start::REPORT_LAG)
-    {
+    if let Some(report) = report.filter(|report| recent(report, now)) {
         let sign = cold_start::WarmupSign::Report { boot: report.boot.clone(), cold: report.cold };
         state.apply(sign, now);
     }
--- a/src/quota_row.rs
+++ b/src/quota_row.rs
@@ -23,6 +23,8 @@
 pub struct QuotaRow {
     kind: quota_message::ResourceKind,
     shares: BTreeMap<ids::InstanceName, NodeShare>,
+    /// Requests that a load report shows beyond those that nodes have reported.
+    unattributed: u64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -98,13 +100,20 @@
 impl QuotaRow {
     /// Row without shares.
     pub fn new(kind: quota_message::ResourceKind) -> Self {
-        Self { kind, shares: BTreeMap::new() }
+        Self { kind, shares: BTreeMap::new(), unattributed: 0 }
     }
 
     /// Sum of all shares that may be in use.
     pub fn outstanding(&mut self, now: Duration) -> u64 {
         self.expire(now);
-        self.shares.values().map(|share| share.outstanding(self.kind)).sum()
+        let shares = self.shares.values().map(|share| share.outstanding(self.kind));
+        shares.sum::<u64>() + self.unattributed
+    }
+
+    /// Counts requests of nodes that a new home has not heard from, by a load report.
+    pub fn assume_unattributed(&mut self, requests: u64, now: Duration) {
+        self.unattributed = 0;
+        self.unattributed = requests.saturating_sub(self.outstanding(now));
     }
 
     /// Ends leases whose time is over and drops nodes without any trace.
@@ -185,7 +194,7 @@
         let quantity = quantity.saturating_sub(self.spent(own.period));
         let others = self.shares.iter().filter(|(name, _)| &***name != node);
         let taken: u64 = others.clone().map(|(_, share)| share.outstanding(self.kind)).sum();
-        let free = quantity.saturating_sub(taken);
+        let free = quantity.saturating_sub(taken + self.unattributed);
         let asking = others.filter(|(_, share)| now < share.asked_at + DEMAND_KEPT);
         let demand: u64 = asking.clone().map(|(_, share)| share.wanted).sum();
         let target = divide(quantity, own.wanted, demand.saturating_add(own.wanted));
@@ -228,6 +237,7 @@
 
     /// Bounds use that nobody reports by a load report that is newer than the end of its lease.
     pub fn limit_stale(&mut self, requests: u64, lag: Duration, received_at: Duration) {
+        self.unattributed = self.unattributed.min(requests);
         for share in self.shares.values_mut() {
             if let Some(stale) = share.stale.filter(|stale| received_at >= stale.since + lag) {
                 share.in_use = share.in_use.min(requests);
