Split the lease from the claim store and group writes by transaction

Cause: a write without an answer was resolved by the segment of any shard, although two transactions can be open when a shard is lost between them. Change: each write carries its transaction, and only writes of the same transaction are resolved together; lease and owner keys have their own type.

--- a/src/claim_log.rs
+++ b/src/claim_log.rs
@@ -23,6 +23,8 @@
 /// Write of one segment.
 #[derive(Clone, Debug)]
 pub struct SegmentWrite {
+    /// Transaction that the write belongs to.
+    pub transaction: u64,
     /// Number of the segment.
     pub segment: u64,
     /// Whole value of the segment.
@@ -99,7 +101,12 @@
 
     /// Moves queued records into a write. A segment stays within the limit unless one record
     /// alone is larger.
-    pub fn begin_write(&mut self, limit_bytes: usize, now_ms: u64) -> Option<&SegmentWrite> {
+    pub fn begin_write(
+        &mut self,
+        transaction: u64,
+        limit_bytes: usize,
+        now_ms: u64,
+    ) -> Option<&SegmentWrite> {
         if self.outstanding.is_some() || self.queue.is_empty() {
             return None;
         }
@@ -124,8 +131,15 @@
         let expired = self.sealed.iter().filter(|(_, newest)| newest + retention_ms <= now_ms);
         let expired = expired.map(|(number, _)| *number).take(1).collect();
         let (value, compare) = (Bytes::from(value), base.mod_revision);
-        self.outstanding =
-            Some(SegmentWrite { segment: number, value, compare, expired, newest_ms, records });
+        self.outstanding = Some(SegmentWrite {
+            transaction,
+            segment: number,
+            value,
+            compare,
+            expired,
+            newest_ms,
+            records,
+        });
         self.outstanding.as_ref()
     }
 
--- a/src/claim_store.rs
+++ b/src/claim_store.rs
@@ -12,17 +12,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use parking_lot::Mutex;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::{claim_record, claim_shard, claim_table, ids, kv_deadline, kv_store};
+use crate::{claim_lease, claim_record, claim_shard, claim_table, ids, kv_deadline, kv_store};
 
-/// Time to live of a node's lease.
-pub const LEASE_TTL_S: i64 = 10;
-/// Time between renewals of the lease.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
 /// Time between looks at leases, owners and members.
 const TICK: Duration = Duration::from_secs(1);
 /// Largest sum of segments in one transaction; etcd refuses requests over 1.5 MB, and base64
@@ -33,27 +27,16 @@
 /// Writes that a flush may repeat because other writes came between.
 const WRITE_TRIES: usize = 4;
 
-/// Wall clock in milliseconds since 1970.
-pub type WallClock = Arc<dyn Fn() -> u64 + Send + Sync>;
-
 /// Claims of the shards that this node owns.
 pub struct ClaimStore {
-    instance: ids::InstanceName,
     store: Arc<dyn kv_store::KvStore>,
-    clock: WallClock,
-    table: Mutex<claim_table::ClaimTable>,
-    lease: Mutex<LeaseState>,
-    ticking: tokio::sync::Mutex<()>,
+    clock: claim_lease::WallClock,
+    table: Arc<Mutex<claim_table::ClaimTable>>,
+    lease: claim_lease::ClaimLease,
     flushing: tokio::sync::Mutex<()>,
     wake: tokio::sync::Notify,
 }
 
-#[derive(Debug, Default)]
-struct LeaseState {
-    held: Option<(ids::LeaseId, Instant)>,
-    closed: bool,
-}
-
 /// Shards of one transaction with their fences and segment keys.
 type WriteShards = Vec<(ids::ShardNumber, ids::KvRevision, String)>;
 
@@ -62,15 +45,16 @@
     pub fn new(
         instance: ids::InstanceName,
         store: Arc<dyn kv_store::KvStore>,
-        clock: WallClock,
+        clock: claim_lease::WallClock,
     ) -> Self {
+        let table = Arc::new(Mutex::new(claim_table::ClaimTable::new(instance.clone())));
+        let lease =
+            claim_lease::ClaimLease::new(instance, store.clone(), clock.clone(), table.clone());
         Self {
-            instance,
             store,
             clock,
-            table: Mutex::default(),
-            lease: Mutex::default(),
-            ticking: tokio::sync::Mutex::default(),
+            table,
+            lease,
             flushing: tokio::sync::Mutex::default(),
             wake: tokio::sync::Notify::new(),
         }
@@ -136,145 +120,7 @@
 
     /// Renews the lease, gives back and takes shards, loads those that are not loaded.
     pub async fn tick(&self) -> Result<(), kv_store::KvError> {
-        let _turn = self.ticking.lock().await;
-        let Some(lease) = self.keep_lease().await? else { return Ok(()) };
-        self.expire();
-        self.give_back().await?;
-        self.take_shards(lease).await?;
-        self.load_shards().await
-    }
-
-    async fn keep_lease(&self) -> Result<Option<ids::LeaseId>, kv_store::KvError> {
-        let held = {
-            let lease = self.lease.lock();
-            if lease.closed {
-                return Ok(None);
-            }
-            lease.held
-        };
-        if let Some((lease, renewed_at)) = held {
-            if renewed_at.elapsed() < RENEWAL_INTERVAL {
-                return Ok(Some(lease));
-            }
-            let asked_at = Instant::now();
-            if kv_deadline::bounded(self.store.renew_lease(lease)).await? {
-                self.lease.lock().held = Some((lease, asked_at));
-                return Ok(Some(lease));
-            }
-            // The owner keys went with the lease.
-            self.lease.lock().held = None;
-            self.table.lock().give_up_all();
-        }
-        let asked_at = Instant::now();
-        let lease = kv_deadline::bounded(self.store.grant_lease(LEASE_TTL_S)).await?;
-        self.lease.lock().held = Some((lease, asked_at));
-        Ok(Some(lease))
-    }
-
-    fn expire(&self) {
-        let now_ms = (self.clock)();
-        let mut table = self.table.lock();
-        let claims = table.shards.values_mut().filter_map(|owned| owned.claims.as_mut());
-        claims.for_each(|claims| claims.expire(now_ms));
-    }
-
-    /// Deletes the owner keys of idle shards whose home is elsewhere.
-    async fn give_back(&self) -> Result<(), kv_store::KvError> {
-        let mut idle = Vec::new();
-        {
-            let mut table = self.table.lock();
-            for number in table.shards.keys().copied().collect::<Vec<_>>() {
-                let leaving = table.home(number).is_some_and(|home| home != self.instance);
-                let Some(owned) = table.shards.get_mut(&number) else { continue };
-                owned.leaving = leaving;
-                if leaving && owned.claims.as_ref().is_none_or(|claims| claims.log.is_idle()) {
-                    idle.push((number, owned.fence));
-                }
-            }
-        }
-        for (number, fence) in idle {
-            let key = claim_table::owner_key(number);
-            let transaction = kv_store::KvTransaction {
-                compares: vec![kv_store::KvCompare::CreateRevision(key.clone(), fence)],
-                operations: vec![kv_store::KvOperation::Delete(key)],
-            };
-            // Without the key, or after a refused compare, the shard is not owned any more.
-            kv_deadline::bounded(self.store.commit(transaction)).await?;
-            self.table.lock().give_up(number);
-        }
-        Ok(())
-    }
-
-    /// Takes the shards whose home is here and that have no owner.
-    async fn take_shards(&self, lease: ids::LeaseId) -> Result<(), kv_store::KvError> {
-        let mut wanted = self.wanted_shards();
-        if wanted.is_empty() {
-            return Ok(());
-        }
-        let owners =
-            kv_deadline::bounded(self.store.range(claim_table::OWNER_PREFIX)).await?.entries;
-        for entry in owners {
-            let number = entry.key.rsplit('/').next().and_then(|text| text.parse().ok());
-            let Some(place) = wanted.iter().position(|shard| Some(*shard) == number) else {
-                continue;
-            };
-            let number = wanted.swap_remove(place);
-            // The answer of an earlier attempt was lost.
-            if entry.lease == lease {
-                let owned = claim_table::OwnedShard::new(entry.create_revision);
-                self.table.lock().shards.insert(number, owned);
-            }
-        }
-        if wanted.is_empty() {
-            return Ok(());
-        }
-        let value = Bytes::copy_from_slice(self.instance.as_bytes());
-        let keys = wanted.iter().map(|number| claim_table::owner_key(*number));
-        let (compares, operations) = keys
-            .map(|key| {
-                let put = kv_store::KvOperation::Put(key.clone(), value.clone(), lease);
-                (kv_store::KvCompare::CreateRevision(key, 0), put)
-            })
-            .unzip();
-        let transaction = kv_store::KvTransaction { compares, operations };
-        let outcome = kv_deadline::bounded(self.store.commit(transaction)).await?;
-        if outcome.committed {
-            let mut table = self.table.lock();
-            for number in wanted {
-                table.shards.insert(number, claim_table::OwnedShard::new(outcome.revision));
-            }
-        }
-        Ok(())
-    }
-
-    fn wanted_shards(&self) -> Vec<ids::ShardNumber> {
-        let table = self.table.lock();
-        let here = |shard: &ids::ShardNumber| {
-            table.home(*shard).is_some_and(|home| home == self.instance)
-                && !table.shards.contains_key(shard)
-        };
-        (0..claim_record::SHARDS).filter(here).collect()
-    }
-
-    /// Loads the segments of shards. They are read after the owner key is held, so no former
-    /// owner can add to them.
-    async fn load_shards(&self) -> Result<(), kv_store::KvError> {
-        let unloaded: Vec<_> = {
-            let table = self.table.lock();
-            let unloaded = table.shards.iter().filter(|(_, owned)| owned.claims.is_none());
-            unloaded.map(|(number, owned)| (*number, owned.fence)).collect()
-        };
-        for (number, fence) in unloaded {
-            let prefix = claim_shard::segment_prefix(number);
-            let range = kv_deadline::bounded(self.store.range(&prefix)).await?;
-            let claims = claim_shard::ClaimShard::load(&range.entries)
-                .map_err(|error| kv_store::KvError::Unreadable(error.to_string()))?;
-            let mut table = self.table.lock();
-            if table.fenced(number, fence).is_some() {
-                table.install(number, claims, (self.clock)());
-            }
-        }
-        Ok(())
+        self.lease.tick().await
     }
 
     /// Stores the records that wait, in one transaction over all shards.
@@ -312,7 +158,13 @@
     /// whole. A write that is not found may still arrive late: the next write of the segment
     /// compares its revision, so only one of the two takes effect.
     async fn resolve_outstanding(&self) -> Result<(), kv_store::KvError> {
-        let Some(shards) = self.outstanding() else { return Ok(()) };
+        while let Some(shards) = self.outstanding() {
+            self.resolve(&shards).await?;
+        }
+        Ok(())
+    }
+
+    async fn resolve(&self, shards: &WriteShards) -> Result<(), kv_store::KvError> {
         let entry = match kv_deadline::bounded(self.store.get(&shards[0].2)).await {
             Ok(entry) => entry,
             Err(error) => {
@@ -325,7 +177,7 @@
         let Some(first) = first else { return Ok(()) };
         let revision =
             first.log.is_in(entry.as_ref()).then(|| entry.map_or(0, |entry| entry.mod_revision));
-        for (number, fence, _) in &shards {
+        for (number, fence, _) in shards {
             let Some(owned) = table.fenced(*number, *fence) else { continue };
             match (revision, &mut owned.claims) {
                 (Some(revision), _) => owned.written(revision, (self.clock)()),
@@ -336,23 +188,30 @@
         Ok(())
     }
 
+    /// Shards of one transaction whose outcome is not known.
     fn outstanding(&self) -> Option<WriteShards> {
         let table = self.table.lock();
-        let rows = table.shards.iter().filter_map(|(number, owned)| {
+        let mut writes = table.shards.iter().filter_map(|(number, owned)| {
             let write = owned.claims.as_ref()?.log.outstanding()?;
-            Some((*number, owned.fence, claim_shard::segment_key(*number, write.segment)))
+            let key = claim_shard::segment_key(*number, write.segment);
+            Some((write.transaction, (*number, owned.fence, key)))
         });
-        let shards: WriteShards = rows.collect();
-        (!shards.is_empty()).then_some(shards)
+        let (transaction, first) = writes.next()?;
+        let others = writes.filter(|(other, _)| *other == transaction).map(|(_, shard)| shard);
+        Some(std::iter::once(first).chain(others).collect())
     }
 
     fn begin_write(&self) -> Option<(kv_store::KvTransaction, WriteShards)> {
         let now_ms = (self.clock)();
         let mut transaction = kv_store::KvTransaction::default();
         let (mut shards, mut room) = (WriteShards::new(), WRITE_BYTES);
-        for (number, owned) in &mut self.table.lock().shards {
+        let mut table = self.table.lock();
+        let number_of_write = table.next_transaction();
+        for (number, owned) in &mut table.shards {
             let Some(claims) = &mut owned.claims else { continue };
-            let Some(write) = claims.log.begin_write(room, now_ms) else { continue };
+            let Some(write) = claims.log.begin_write(number_of_write, room, now_ms) else {
+                continue;
+            };
             room -= write.value.len();
             let key = claim_shard::segment_key(*number, write.segment);
             let owner = claim_table::owner_key(*number);
@@ -443,11 +302,7 @@
 
     /// Stores what waits and releases all shards at once by revoking the lease.
     pub async fn hand_over(&self) {
-        let held = {
-            let mut lease = self.lease.lock();
-            lease.closed = true;
-            lease.held.take()
-        };
+        let held = self.lease.close();
         for owned in self.table.lock().shards.values_mut() {
             owned.leaving = true;
         }
@@ -459,7 +314,7 @@
             }
         };
         let _ = tokio::time::timeout(HAND_OVER_TIME, store_all).await;
-        if let Some((lease, _)) = held {
+        if let Some(lease) = held {
             // Without an answer the lease lapses by itself.
             let _ = kv_deadline::bounded(self.store.revoke_lease(lease)).await;
         }
--- a/src/claim_table.rs
+++ b/src/claim_table.rs
@@ -104,16 +104,36 @@
 }
 
 /// Shards of this node.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ClaimTable {
+    /// This process.
+    pub instance: ids::InstanceName,
     /// Live processes.
     pub members: BTreeSet<ids::InstanceName>,
     /// Owned shards.
     pub shards: BTreeMap<ids::ShardNumber, OwnedShard>,
     orphans: Vec<ClaimOrphan>,
+    transactions: u64,
 }
 
 impl ClaimTable {
+    /// Table without shards.
+    pub fn new(instance: ids::InstanceName) -> Self {
+        Self {
+            instance,
+            members: BTreeSet::new(),
+            shards: BTreeMap::new(),
+            orphans: Vec::new(),
+            transactions: 0,
+        }
+    }
+
+    /// Number for a new transaction, by which the writes in it are recognised.
+    pub fn next_transaction(&mut self) -> u64 {
+        self.transactions += 1;
+        self.transactions
+    }
+
     /// Process that should own a shard.
     pub fn home(&self, shard: ids::ShardNumber) -> Option<ids::InstanceName> {
         rendezvous::home(&owner_key(shard), &self.members).cloned()
@@ -143,7 +163,11 @@
         let home = self.home(number);
         let members = &self.members;
         let owned = self.shards.get_mut(&number).filter(|owned| !owned.leaving);
-        let Some(owned) = owned else { return Err(ClaimVerdict::NotOwner(home)) };
+        let Some(owned) = owned else {
+            let here = home.as_ref() == Some(&self.instance);
+            let loading = ClaimVerdict::Unavailable(ClaimUnavailable::Loading);
+            return Err(if here { loading } else { ClaimVerdict::NotOwner(home) });
+        };
         let Some(claims) = &mut owned.claims else {
             return Err(ClaimVerdict::Unavailable(ClaimUnavailable::Loading));
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod bill_copies;
 pub mod bill_ledger;
 pub mod bill_line;
+pub mod claim_lease;
 pub mod claim_log;
 pub mod claim_record;
 pub mod claim_shard;
