--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod chat_flow;
 pub mod chat_job;
 pub mod chat_request;
+pub mod claim_lease;
 pub mod claim_log;
 pub mod claim_record;
 pub mod claim_shard;
