--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,7 +1,5 @@
 //! Records that several test files share.
 
-use std::sync::Arc;
-
 use yuccareel::record_reader::{LocatedRecord, RecordBatch};
 
 /// Records without faults: two models, a cascade, a rollout, a data centre, a service, a customer.
@@ -80,13 +78,3 @@
     assert!(batch.findings.is_empty(), "{:?}", batch.findings);
     batch.records
 }
-
-/// Data centre record with a region that tells two writes apart.
-pub fn data_centre(name: &str, region: &str) -> LocatedRecord {
-    let text = format!(
-        "[[record]]\nschema = 2\nkind = \"data_centre\"\nname = \"{name}\"\nregion = \"{region}\"\n"
-    );
-    let mut record = read(&text).remove(0);
-    record.file = Arc::from("data_centre.toml");
-    record
-}
