--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -61,7 +61,6 @@
   claim @7 (body :Data) -> (body :Data);
   finishClaim @8 (body :Data) -> (body :Data);
   copyBills @9 (body :Data) -> (body :Data);
-  billsFlushed @10 (body :Data) -> (body :Data);
-  sendEvidence @11 (body :Data) -> (body :Data);
-  handOverQuota @12 (body :Data) -> (body :Data);
+  sendEvidence @10 (body :Data) -> (body :Data);
+  handOverQuota @11 (body :Data) -> (body :Data);
 }
--- a/src/answer_reader.rs
+++ b/src/answer_reader.rs
@@ -5,18 +5,17 @@
 //! again. An answer whose tokens already left for the caller is never restarted.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use crate::{
-    chat_job, engine_client, error_body, ids, node, node_dispatch, refusal_reason, retry_reason,
+    chat_job, engine_client, error_body, ids, node, node_dispatch, refusal_reason, retry_budget,
+    retry_reason,
 };
 
-/// Attempts of one step, the first included.
-const MAX_ATTEMPTS: u32 = 4;
-
 /// What the reader found next.
 #[derive(Debug)]
 pub enum ReaderEvent {
@@ -48,6 +47,8 @@
     attempts: u32,
     tokens: u64,
     ended: bool,
+    created_at: Instant,
+    first_token: Option<Duration>,
     /// Whether an earlier attempt may have run.
     may_have_run: bool,
     last_error: Option<engine_client::AttemptError>,
@@ -73,6 +74,8 @@
             attempts: 0,
             tokens: 0,
             ended: false,
+            created_at: Instant::now(),
+            first_token: None,
             may_have_run: false,
             last_error: None,
         }
@@ -83,6 +86,11 @@
         &self.target
     }
 
+    /// Time from the first send to the first token, once there was one.
+    pub fn first_token(&self) -> Option<Duration> {
+        self.first_token
+    }
+
     /// Tokens received so far.
     pub fn tokens(&self) -> u64 {
         self.tokens
@@ -119,6 +127,7 @@
                     if !attempt.first_token {
                         attempt.first_token = true;
                         let elapsed = attempt.opened_at.elapsed();
+                        self.first_token.get_or_insert(self.created_at.elapsed());
                         self.node.note_first_token(&attempt.dispatch, elapsed);
                     }
                     self.tokens += 1;
@@ -246,8 +255,13 @@
     ) -> Result<(), error_body::RequestRefusal> {
         self.may_have_run |= error.ran == error_body::RunState::Unknown;
         let reason = error.reason;
-        let allowed = self.attempts < MAX_ATTEMPTS
-            && self.node.retry_allowed(&self.job.customer.name, &dispatch.row.name, reason);
+        let progress = match (error.ran, self.tokens > 0) {
+            (error_body::RunState::No, _) => retry_budget::SendProgress::NotSent,
+            (error_body::RunState::Unknown, false) => retry_budget::SendProgress::MaybeSent,
+            (error_body::RunState::Unknown, true) => retry_budget::SendProgress::AnswerStarted,
+        };
+        let (customer, replica) = (&self.job.customer.name, &dispatch.row.name);
+        let allowed = self.node.retry_allowed(customer, replica, reason, progress, self.attempts);
         let message = error.to_string();
         self.last_error = Some(error);
         if allowed {
--- a/src/bill_batch.rs
+++ b/src/bill_batch.rs
@@ -109,3 +109,8 @@
     let (instance, first) = key.strip_prefix(BILL_PREFIX)?.rsplit_once('/')?;
     Some((instance, first.parse().ok()?))
 }
+
+/// Instance name within a process name.
+pub fn instance_name(process: &str) -> &str {
+    process.rsplit_once('@').map_or(process, |(instance, _)| instance)
+}
--- a/src/bill_ledger.rs
+++ b/src/bill_ledger.rs
@@ -26,7 +26,7 @@
 const RECENT_REQUESTS: usize = 100_000;
 
 /// Copy of open bills for the peer.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct BillCopy {
     /// Process that numbered the bills.
     pub instance: ids::InstanceName,
--- a/src/chat_flow.rs
+++ b/src/chat_flow.rs
@@ -1,13 +1,12 @@
-//! Path of a chat request: who asks, which steps, the answer, the bill.
+//! Path of a chat request: admission, cascade steps, the answer, the bill.
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use serde_json::json;
 use tokio::time::Instant;
 
 use crate::{
-    answer_reader, chat_job, chat_request, engine_client, error_body, ids, node, refusal_reason,
+    answer_reader, bill_line, cascade_policy, chat_job, chat_request, chat_stream, engine_client,
+    error_body, ids, node, node_rating, node_rollout, node_versions, refusal_reason,
 };
 
 /// Answer to a chat request.
@@ -15,7 +14,7 @@
     /// Whole answer.
     Whole(WholeAnswer),
     /// Answer that is still arriving.
-    Streamed(Box<StreamedAnswer>),
+    Streamed(Box<chat_stream::StreamedAnswer>),
 }
 
 /// Whole answer with its cost.
@@ -33,22 +32,17 @@
     pub finish_reason: String,
     /// Cost of all steps in microcredits.
     pub cost: ids::Microcredits,
+    /// Models and versions of all steps that ran.
+    pub steps: Vec<bill_line::BillStep>,
 }
 
-/// Answer that is still arriving.
-pub struct StreamedAnswer {
-    job: Arc<chat_job::ChatJob>,
-    node: Arc<node::Node>,
-    reader: answer_reader::AnswerReader,
-    first: Option<Bytes>,
-    state: StreamState,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StreamState {
-    Running,
-    Done,
-    Closed,
+/// Job of a request that a customer sent now.
+pub fn new_job(
+    customer: Arc<crate::records::customer::CustomerRecord>,
+    request: chat_request::ChatRequest,
+) -> chat_job::ChatJob {
+    let deadline = Instant::now() + request.deadline;
+    chat_job::ChatJob { id: rand::random(), customer, request, deadline }
 }
 
 /// Answers a chat request of a customer.
@@ -60,178 +54,247 @@
     job: chat_job::ChatJob,
 ) -> Result<ChatAnswer, error_body::RequestRefusal> {
     let job = Arc::new(job);
-    let target = node.choose_target(&job)?;
+    let steps = node.job_steps(&job)?;
+    let estimate = steps.iter().map(|step| step.cost).max().unwrap_or(0);
+    let mut admission = node.admit(&job.customer, estimate).await?;
+    let run = CascadeRun::new(node, &job, steps);
     if job.request.stream {
-        return start_stream(node, job, target).await.map(ChatAnswer::Streamed);
+        return run.start_stream(admission).await.map(ChatAnswer::Streamed);
     }
-    let answer = read_whole(node, &job, target).await?;
-    node.bill(&job, &answer.target, answer.usage, answer.cost).await;
+    let answer = run.answer_whole().await?;
+    admission.set_cost(answer.cost);
+    node.bill(&job, answer.steps.clone()).await;
     Ok(ChatAnswer::Whole(answer))
 }
 
-async fn read_whole(
-    node: &Arc<node::Node>,
-    job: &Arc<chat_job::ChatJob>,
-    target: chat_job::VersionTarget,
-) -> Result<WholeAnswer, error_body::RequestRefusal> {
-    let mut reader =
-        answer_reader::AnswerReader::new(Arc::clone(node), Arc::clone(job), target.clone(), false);
-    let mut text = String::new();
-    loop {
-        match reader.next().await? {
-            answer_reader::ReaderEvent::Token(token, _) => text.push_str(&token),
-            answer_reader::ReaderEvent::Restarted => text.clear(),
-            answer_reader::ReaderEvent::End(usage, finish_reason) => {
-                let cost = target.model.cost(usage.prompt_tokens, usage.completion_tokens);
-                return Ok(WholeAnswer { id: job.id, target, text, usage, finish_reason, cost });
-            }
+/// One job on its way through the steps of its plan.
+struct CascadeRun<'a> {
+    node: &'a Arc<node::Node>,
+    job: &'a Arc<chat_job::ChatJob>,
+    steps: node_versions::JobSteps,
+    plan: cascade_policy::CascadePlan,
+    rating: cascade_policy::RatingUse,
+}
+
+impl<'a> CascadeRun<'a> {
+    fn new(
+        node: &'a Arc<node::Node>,
+        job: &'a Arc<chat_job::ChatJob>,
+        steps: node_versions::JobSteps,
+    ) -> Self {
+        let rating = node.rating_use(job.request.stream);
+        let mut run = Self { node, job, steps, plan: cascade_policy::fixed_plan([0]), rating };
+        let table = node.quality.lock();
+        let chosen = cascade_policy::choose_plan(&table, &run.policy(), &mut rand::rng());
+        drop(table);
+        run.plan = chosen.unwrap_or(run.plan);
+        run
+    }
+
+    fn policy(&self) -> cascade_policy::PolicyRequest<'_> {
+        cascade_policy::PolicyRequest {
+            customer: &self.job.customer.name,
+            kind: &self.job.request.kind,
+            steps: &self.steps,
+            quality_target: self.job.customer.quality_target,
+            rating: self.rating,
         }
     }
-}
 
-/// Waits for the first token, so that a refusal still gets its own status.
-async fn start_stream(
-    node: &Arc<node::Node>,
-    job: Arc<chat_job::ChatJob>,
-    target: chat_job::VersionTarget,
-) -> Result<Box<StreamedAnswer>, error_body::RequestRefusal> {
-    let mut reader =
-        answer_reader::AnswerReader::new(Arc::clone(node), Arc::clone(&job), target, true);
-    let first = loop {
-        match reader.next().await? {
-            answer_reader::ReaderEvent::Token(_, raw) => break raw,
-            answer_reader::ReaderEvent::Restarted => {}
-            answer_reader::ReaderEvent::End(..) => {
-                let reason = refusal_reason::RefusalReason::BackendFailed;
-                return Err(error_body::RequestRefusal::unknown(reason, "empty answer"));
+    /// Answers step by step until one is good enough or none is left.
+    async fn answer_whole(&self) -> Result<WholeAnswer, error_body::RequestRefusal> {
+        let mut best: Option<WholeAnswer> = None;
+        let mut former: Option<usize> = None;
+        let mut place = 0;
+        let mut step = self.plan.steps.first().copied().unwrap_or(0);
+        loop {
+            match self.read_step(step).await {
+                Ok(mut answer) => {
+                    if let Some(earlier) = best.take() {
+                        answer.add_earlier(&earlier);
+                    }
+                    let decision = self.judge(&answer, step, former, place).await;
+                    best = Some(answer);
+                    former = Some(step);
+                    match decision {
+                        cascade_policy::AnswerDecision::Deliver => break,
+                        cascade_policy::AnswerDecision::Escalate(next) => step = next,
+                    }
+                }
+                Err(refusal) => match (best.is_some(), self.next_pool(step, &refusal)) {
+                    // The answer of an earlier step is better than none.
+                    (true, _) => break,
+                    (false, Some(next)) => step = next,
+                    (false, None) => return Err(refusal),
+                },
             }
+            place += 1;
         }
-    };
-    let (node, state) = (Arc::clone(node), StreamState::Running);
-    Ok(Box::new(StreamedAnswer { job, node, reader, first: Some(first), state }))
-}
-
-impl StreamedAnswer {
-    /// Request.
-    pub fn id(&self) -> ids::RequestId {
-        self.job.id
+        best.ok_or_else(|| {
+            let reason = refusal_reason::RefusalReason::BackendFailed;
+            error_body::RequestRefusal::unknown(reason, "no step gave an answer")
+        })
     }
 
-    /// Model and version that answer.
-    pub fn target(&self) -> &chat_job::VersionTarget {
-        self.reader.target()
+    /// Next step after one whose pool is exhausted or has no replica.
+    fn next_pool(&self, step: usize, refusal: &error_body::RequestRefusal) -> Option<usize> {
+        use refusal_reason::RefusalReason as Reason;
+        let exhausted = matches!(
+            refusal.reason,
+            Reason::NoReplica | Reason::ColdStart | Reason::Overloaded | Reason::DataCentreDrained
+        );
+        (exhausted && step + 1 < self.steps.len()).then_some(step + 1)
     }
 
-    /// Next piece of the event stream; none after the end.
-    pub async fn next(&mut self) -> Option<Bytes> {
-        match self.state {
-            StreamState::Closed => return None,
-            StreamState::Done => {
-                self.state = StreamState::Closed;
-                return Some(Bytes::from_static(b"data: [DONE]\n\n"));
+    async fn read_step(&self, step: usize) -> Result<WholeAnswer, error_body::RequestRefusal> {
+        let target = self.node.choose_target(self.job, &self.steps[step].model).await?;
+        let mut reader = self.reader(target.clone(), false);
+        let mut text = String::new();
+        loop {
+            match reader.next().await {
+                Err(refusal) => {
+                    self.node.note_refusal(&target, &refusal);
+                    return Err(refusal);
+                }
+                Ok(answer_reader::ReaderEvent::Token(token, _)) => text.push_str(&token),
+                Ok(answer_reader::ReaderEvent::Restarted) => text.clear(),
+                Ok(answer_reader::ReaderEvent::End(usage, finish_reason)) => {
+                    let step = bill_step(&target, usage);
+                    let cost = step.cost;
+                    let slow = is_slow(&reader);
+                    self.node.note_outcome(&target, node_rollout::AnswerOutcome::Whole(slow));
+                    let (id, steps) = (self.job.id, vec![step]);
+                    return Ok(WholeAnswer { id, target, text, usage, finish_reason, cost, steps });
+                }
             }
-            StreamState::Running => {}
         }
-        if let Some(first) = self.first.take() {
-            return Some(event(&first));
+    }
+
+    fn reader(
+        &self,
+        target: chat_job::VersionTarget,
+        streamed: bool,
+    ) -> answer_reader::AnswerReader {
+        answer_reader::AnswerReader::new(
+            Arc::clone(self.node),
+            Arc::clone(self.job),
+            target,
+            streamed,
+        )
+    }
+
+    /// Rates an answer where a decision hangs on it, else rates it later for learning.
+    async fn judge(
+        &self,
+        answer: &WholeAnswer,
+        step: usize,
+        former: Option<usize>,
+        place: usize,
+    ) -> cascade_policy::AnswerDecision {
+        let policy = self.policy();
+        let rated = node_rating::RatedAnswer {
+            cell: cascade_policy::answer_cell(&policy, step, former),
+            target: answer.target.clone(),
+            quality_target: policy.quality_target,
+            prompt: self.job.request.prompt.clone(),
+            answer: answer.text.clone(),
+        };
+        let may_escalate = place + 1 < self.plan.steps.len();
+        if !may_escalate {
+            self.node.rate_later(rated);
+            return cascade_policy::AnswerDecision::Deliver;
         }
+        let score = match self.rating {
+            cascade_policy::RatingUse::Available => self.node.rate(rated).await,
+            cascade_policy::RatingUse::Unavailable | cascade_policy::RatingUse::Streamed => None,
+        };
+        let table = self.node.quality.lock();
+        cascade_policy::after_answer(&table, &policy, &self.plan, place, score)
+    }
+
+    /// Waits for the first token, so that a refusal still gets its own status.
+    async fn start_stream(
+        &self,
+        admission: crate::node_admission::AdmissionGuard,
+    ) -> Result<Box<chat_stream::StreamedAnswer>, error_body::RequestRefusal> {
+        let mut step = self.plan.steps.first().copied().unwrap_or(0);
         loop {
-            match self.reader.next().await {
-                Ok(answer_reader::ReaderEvent::Token(_, raw)) => return Some(event(&raw)),
-                Ok(answer_reader::ReaderEvent::Restarted) => {}
-                Ok(answer_reader::ReaderEvent::End(usage, reason)) => {
-                    self.state = StreamState::Done;
-                    return Some(self.finish(usage, &reason).await);
+            let target = self.node.choose_target(self.job, &self.steps[step].model).await?;
+            let mut reader = self.reader(target.clone(), true);
+            match first_token(&mut reader).await {
+                Ok(first) => {
+                    let policy = self.policy();
+                    let parts = chat_stream::StreamParts {
+                        job: Arc::clone(self.job),
+                        node: Arc::clone(self.node),
+                        cell: cascade_policy::answer_cell(&policy, step, None),
+                        admission,
+                        reader,
+                        first,
+                    };
+                    return Ok(Box::new(chat_stream::StreamedAnswer::new(parts)));
                 }
                 Err(refusal) => {
-                    self.state = StreamState::Closed;
-                    self.node.count_refusal(&refusal);
-                    let body = serde_json::to_vec(&refusal.body()).unwrap_or_default();
-                    return Some(event(&body));
+                    self.node.note_refusal(&target, &refusal);
+                    match self.next_pool(step, &refusal) {
+                        Some(next) => step = next,
+                        None => return Err(refusal),
+                    }
                 }
             }
         }
     }
-
-    /// Bills the answer, then gives its last event.
-    async fn finish(&mut self, usage: engine_client::TokenUsage, reason: &str) -> Bytes {
-        let target = self.reader.target().clone();
-        let cost = target.model.cost(usage.prompt_tokens, usage.completion_tokens);
-        self.node.bill(&self.job, &target, usage, cost).await;
-        let body = json!({
-            "id": format!("{:032x}", self.job.id),
-            "object": "chat.completion.chunk",
-            "created": node::unix_seconds(),
-            "model": &*target.model.name,
-            "choices": [{ "index": 0, "delta": {}, "finish_reason": reason }],
-            "usage": usage_body(usage),
-            "yuccareel": {
-                "request_id": format!("{:032x}", self.job.id),
-                "version": &*target.version,
-                "cost_microcredits": cost,
-            },
-        });
-        event(body.to_string().as_bytes())
-    }
 }
 
-impl Drop for StreamedAnswer {
-    /// Bills the tokens that were made before the caller went away.
-    fn drop(&mut self) {
-        let tokens = self.reader.tokens();
-        if self.state != StreamState::Running || tokens == 0 {
-            return;
-        }
-        let prompt_tokens = chat_request::estimated_tokens(&self.job.request.prompt);
-        let usage = engine_client::TokenUsage { prompt_tokens, completion_tokens: tokens };
-        let target = self.reader.target().clone();
-        let cost = target.model.cost(usage.prompt_tokens, usage.completion_tokens);
-        let (node, job) = (Arc::clone(&self.node), Arc::clone(&self.job));
-        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
-            runtime.spawn(async move { node.bill(&job, &target, usage, cost).await });
+async fn first_token(
+    reader: &mut answer_reader::AnswerReader,
+) -> Result<answer_reader::ReaderEvent, error_body::RequestRefusal> {
+    loop {
+        match reader.next().await? {
+            answer_reader::ReaderEvent::Restarted => {}
+            event => return Ok(event),
         }
     }
 }
 
-impl WholeAnswer {
-    /// Body as chat clients read it.
-    pub fn body(&self) -> serde_json::Value {
-        json!({
-            "id": format!("{:032x}", self.id),
-            "object": "chat.completion",
-            "created": node::unix_seconds(),
-            "model": &*self.target.model.name,
-            "choices": [{
-                "index": 0,
-                "message": { "role": "assistant", "content": self.text },
-                "finish_reason": self.finish_reason,
-            }],
-            "usage": usage_body(self.usage),
-        })
-    }
+/// Whether the first token came later than the target for interactive answers.
+pub fn is_slow(reader: &answer_reader::AnswerReader) -> bool {
+    reader.first_token().is_some_and(|elapsed| elapsed > node_rollout::SLOW_FIRST_TOKEN)
 }
 
-fn usage_body(usage: engine_client::TokenUsage) -> serde_json::Value {
-    json!({
-        "prompt_tokens": usage.prompt_tokens,
-        "completion_tokens": usage.completion_tokens,
-        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
-    })
+/// Bill of one step.
+pub fn bill_step(
+    target: &chat_job::VersionTarget,
+    usage: engine_client::TokenUsage,
+) -> bill_line::BillStep {
+    bill_line::BillStep {
+        model: target.model.name.clone(),
+        version: target.version.clone(),
+        prompt_tokens: usage.prompt_tokens,
+        completion_tokens: usage.completion_tokens,
+        cost: target.model.cost(usage.prompt_tokens, usage.completion_tokens),
+    }
 }
 
-fn event(data: &[u8]) -> Bytes {
-    let mut event = Vec::with_capacity(data.len() + 8);
-    event.extend_from_slice(b"data: ");
-    event.extend_from_slice(data);
-    event.extend_from_slice(b"\n\n");
-    Bytes::from(event)
+impl WholeAnswer {
+    /// Adds the steps that ran before this one to the bill.
+    fn add_earlier(&mut self, earlier: &Self) {
+        self.cost += earlier.cost;
+        self.steps.splice(0..0, earlier.steps.iter().cloned());
+    }
 }
 
-/// Job of a request that a customer sent now.
-pub fn new_job(
-    customer: Arc<crate::records::customer::CustomerRecord>,
-    request: chat_request::ChatRequest,
-) -> chat_job::ChatJob {
-    let deadline = Instant::now() + request.deadline;
-    chat_job::ChatJob { id: rand::random(), customer, request, deadline }
+impl node::Node {
+    /// Records a failed step as evidence when an attempt ran.
+    pub fn note_refusal(
+        &self,
+        target: &chat_job::VersionTarget,
+        refusal: &error_body::RequestRefusal,
+    ) {
+        use refusal_reason::RefusalReason as Reason;
+        let failed = matches!(refusal.reason, Reason::BackendFailed | Reason::AnswerTruncated);
+        if failed {
+            self.note_outcome(target, node_rollout::AnswerOutcome::Failed);
+        }
+    }
 }
--- a/src/chat_request.rs
+++ b/src/chat_request.rs
@@ -36,6 +36,8 @@
     pub priority: engine_client::EnginePriority,
     /// Time for the whole request.
     pub deadline: Duration,
+    /// Most tokens to generate.
+    pub max_tokens: Option<u64>,
     /// Text of all messages.
     pub prompt: String,
     fields: Map<String, Value>,
@@ -88,6 +90,7 @@
             session: session.map(ids::SessionKey::from),
             priority: priority(headers.priority.as_deref())?,
             deadline: deadline.min(LONGEST_DEADLINE),
+            max_tokens: max_tokens(&fields)?,
             prompt,
             fields,
         })
@@ -119,6 +122,20 @@
     }
 }
 
+/// Limit of generated tokens, under its current name or its former one.
+fn max_tokens(fields: &Map<String, Value>) -> Result<Option<u64>, error_body::RequestRefusal> {
+    for name in ["max_completion_tokens", "max_tokens"] {
+        match fields.get(name) {
+            None | Some(Value::Null) => {}
+            Some(value) => {
+                let limit = value.as_u64().filter(|limit| *limit > 0);
+                return limit.map(Some).ok_or_else(|| invalid(name, "must be a positive number"));
+            }
+        }
+    }
+    Ok(None)
+}
+
 /// Text of all messages; content is a string or a list of parts.
 fn prompt_text(fields: &Map<String, Value>) -> Result<String, error_body::RequestRefusal> {
     let messages = fields.get("messages").and_then(Value::as_array);
--- a/src/claim_record.rs
+++ b/src/claim_record.rs
@@ -169,7 +169,7 @@
     }
 }
 
-mod base64_digest {
+pub(crate) mod base64_digest {
     use serde::{Deserializer, Serializer, de::Error as _};
 
     pub fn serialize<S: Serializer>(digest: &[u8; 32], serializer: S) -> Result<S::Ok, S::Error> {
--- a/src/cold_start.rs
+++ b/src/cold_start.rs
@@ -48,7 +48,7 @@
 }
 
 /// Sign by which the state changes.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum WarmupSign {
     /// Answers that came back in time.
     Answers(u32),
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -9,6 +9,7 @@
 use salvo::http::ParseError;
 use salvo::prelude::{Depot, Request, Response, Router, StatusCode, handler};
 use serde_json::json;
+use xxhash_rust::xxh3;
 
 use crate::{chat_flow, chat_request, error_body, ids, node, refusal_reason, service_flow};
 
@@ -72,7 +73,7 @@
                 Ok(())
             }
             CallerRoute::Ready => {
-                let ready = node.ready() && !node.stopping.load(Ordering::SeqCst);
+                let ready = node.ready();
                 let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
                 response.status_code(status);
                 response.render(salvo::writing::Json(json!({ "ready": ready })));
@@ -171,11 +172,13 @@
 
     fn endpoints(
         &self,
-        _request: &mut Request,
+        request: &mut Request,
         response: &mut Response,
     ) -> Result<(), error_body::RequestRefusal> {
-        let address = self.node.options.advertise.to_string();
-        response.render(salvo::writing::Json(json!({ "endpoints": [address], "ttl_s": 10 })));
+        // The address alone would send all callers behind one gateway to the same instance.
+        let caller = (request.remote_addr().to_string(), bearer_token(request));
+        let hash = xxh3::xxh3_64(format!("{caller:?}").as_bytes());
+        response.render(salvo::writing::Json(self.node.endpoints.load().answer(hash)));
         Ok(())
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,20 +1,34 @@
 //! Entry instance: owns the tables and runs systems over them each tick.
+//!
+//! The systems live in the `node_*` modules, one per table or group of tables.
 
-use std::net::SocketAddr;
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, SystemTime};
 
 use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
-    chat_job, config_snapshot, engine_client, error_body, ids, instance_list, kv_store, records,
-    refusal_reason, replica_table, token_index,
+    bill_batch, bill_copies, bill_ledger, claim_store, config_log, config_snapshot, config_store,
+    customer_limits, endpoint_answer, engine_client, error_body, freshness, ids, instance_list,
+    kv_store, member_row, member_table, node_bills, node_handler, node_quota, node_replicas,
+    node_rollout, node_view, peer_client, peer_handshake, peer_service, pool_queue, prefix_index,
+    quality_table, quota_home, quota_lease, rating_client, records, refusal_reason, replica_subset,
+    replica_table, retry_budget, session_table, token_index,
 };
 
-/// Time between two ticks.
-const TICK: Duration = Duration::from_millis(250);
+/// Time between two looks at whether a shutdown is complete.
+const STOP_POLL: Duration = Duration::from_millis(50);
+/// Time for which a stopping instance still accepts requests: callers keep an
+/// endpoints answer for its time to live, and half as long covers slow clocks.
+pub const LEAVE_TIME: Duration = Duration::from_millis(endpoint_answer::ENDPOINT_TTL_S * 1_500);
 
 /// What an instance needs to start.
 #[derive(Clone)]
@@ -25,24 +39,97 @@
     pub data_centre: ids::DataCentreName,
     /// Address that callers use.
     pub advertise: SocketAddr,
+    /// Address that peers use.
+    pub peer_advertise: SocketAddr,
     /// Largest body in bytes.
     pub body_limit: usize,
+    /// Time for which a stopping instance still accepts requests.
+    pub leave_time: Duration,
+    /// Secret that all nodes share.
+    pub peer_secret: peer_handshake::SharedSecret,
     /// Key-value service.
     pub store: Arc<dyn kv_store::KvStore>,
     /// Instance list.
     pub list: instance_list::ListClient,
+    /// Answer-rating service, where there is one.
+    pub rating: Option<Arc<dyn rating_client::RatingService>>,
+}
+
+/// Error of the start of an instance.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// HTTP library cannot be set up.
+    #[error("HTTP client: {0}")]
+    Http(#[from] reqwest::Error),
+    /// Thread or socket for calls between nodes cannot be set up.
+    #[error("calls between nodes: {0}")]
+    Peers(#[from] io::Error),
 }
 
 /// Entry instance.
 pub struct Node {
     /// What it was started with.
     pub options: NodeOptions,
-    /// Configuration in force.
+    /// Name that is unique per process start.
+    pub process: ids::InstanceName,
+    /// Number of this start; grows with each start under the same name.
+    pub incarnation: u64,
+    /// Configuration in effect and recent changes.
+    pub log: Mutex<config_log::ConfigLog>,
+    /// Stored configuration.
+    pub config: config_store::ConfigStore,
+    /// Configuration in effect.
     pub snapshot: Arc<ArcSwap<config_snapshot::ConfigSnapshot>>,
     /// Customers by token, of the same configuration.
     pub tokens: ArcSwap<token_index::TokenIndex>,
+    /// Known nodes.
+    pub members: Mutex<member_table::MemberTable>,
+    /// Age of the newest confirmation of the configuration.
+    pub confirmation: Mutex<freshness::ConfirmationClock>,
+    /// Instance list as last read or received.
+    pub listed: Mutex<node_view::ListedView>,
+    /// Members and freshness as of the last tick.
+    pub view: ArcSwap<node_view::NodeView>,
+    /// Addresses for callers.
+    pub endpoints: ArcSwap<endpoint_answer::EndpointDirectory>,
     /// Known replicas.
     pub replicas: ArcSwap<replica_table::ReplicaTable>,
+    /// Replicas that this node uses.
+    pub subset: ArcSwap<replica_subset::ReplicaSubset>,
+    /// What this node learned of its replicas.
+    pub learned: Mutex<HashMap<ids::ReplicaName, node_replicas::LearnedRow>>,
+    /// Shares that this node holds.
+    pub shares: Mutex<quota_lease::ShareTable>,
+    /// Shares that this node grants.
+    pub home: Mutex<quota_home::QuotaHome>,
+    /// Wakes the exchange of shares.
+    pub quota_wake: Notify,
+    /// Use of customers' limits.
+    pub limits: Mutex<customer_limits::CustomerLimitTable>,
+    /// Retry budgets.
+    pub retries: Mutex<retry_budget::RetryBudget>,
+    /// Requests that wait for credit, by pool.
+    pub queues: Mutex<HashMap<replica_table::ReplicaPool, pool_queue::PoolQueue>>,
+    /// Wakes the queues when credit may have become free.
+    pub queue_wake: Arc<Notify>,
+    /// Versions of sessions.
+    pub sessions: Mutex<session_table::SessionTable>,
+    /// Pass rates.
+    pub quality: Mutex<quality_table::QualityTable>,
+    /// State of the rating service.
+    pub rating_health: Mutex<rating_client::RatingHealth>,
+    /// Cached prompt prefixes.
+    pub prefixes: Mutex<prefix_index::PrefixIndex>,
+    /// Rollouts as this node knows them.
+    pub rollouts: node_rollout::RolloutView,
+    /// Bills of this instance.
+    pub ledger: Arc<bill_ledger::BillLedger>,
+    /// Copies of the bills of peers.
+    pub copies: bill_copies::BillCopies,
+    /// Claims whose shards this node owns.
+    pub claims: Arc<claim_store::ClaimStore>,
+    /// Calls to peers.
+    pub peers: peer_client::PeerClient,
     /// Engines.
     pub engine: engine_client::EngineClient,
     /// HTTP client for plain services.
@@ -51,6 +138,8 @@
     pub serving: Arc<AtomicU32>,
     /// Whether a shutdown has begun.
     pub stopping: AtomicBool,
+    /// Ends the systems after the last request.
+    pub stopped: CancellationToken,
     started_at: Instant,
 }
 
@@ -58,19 +147,76 @@
     /// Instance without configuration.
     ///
     /// # Errors
-    /// When the HTTP library cannot be set up.
-    pub fn new(options: NodeOptions) -> Result<Self, reqwest::Error> {
-        Ok(Self {
-            options,
-            snapshot: Arc::default(),
-            tokens: ArcSwap::default(),
-            replicas: ArcSwap::default(),
-            engine: engine_client::EngineClient::new()?,
-            service_http: service_http()?,
-            serving: Arc::default(),
-            stopping: AtomicBool::new(false),
-            started_at: Instant::now(),
-        })
+    /// When HTTP or the calls between nodes cannot be set up.
+    pub fn new(options: NodeOptions) -> Result<Arc<Self>, NodeError> {
+        let incarnation = unix_millis();
+        let process = bill_batch::process_name(&options.name, incarnation);
+        let peers = peer_client::PeerClient::start(options.peer_secret.clone())?;
+        let (engine, service_http) = (engine_client::EngineClient::new()?, service_http()?);
+        let now = Duration::ZERO;
+        let own = member_row::MemberRow {
+            incarnation,
+            leaving: false,
+            name: options.name.clone(),
+            address: options.advertise,
+            peer_address: options.peer_advertise,
+            data_centre: options.data_centre.clone(),
+        };
+        let store = Arc::clone(&options.store);
+        Ok(Arc::new_cyclic(|node| {
+            let copier = Arc::new(node_bills::PeerCopier::new(node.clone()));
+            Self {
+                log: Mutex::default(),
+                config: config_store::ConfigStore::new(Arc::clone(&store)),
+                snapshot: Arc::default(),
+                tokens: ArcSwap::default(),
+                members: Mutex::new(member_table::MemberTable::new(own, now)),
+                confirmation: Mutex::default(),
+                listed: Mutex::default(),
+                view: ArcSwap::default(),
+                endpoints: ArcSwap::default(),
+                replicas: ArcSwap::default(),
+                subset: ArcSwap::default(),
+                learned: Mutex::default(),
+                shares: Mutex::new(quota_lease::ShareTable::new(options.name.clone(), incarnation)),
+                home: Mutex::new(quota_home::QuotaHome::new(
+                    options.name.clone(),
+                    incarnation,
+                    now,
+                )),
+                quota_wake: Notify::new(),
+                limits: Mutex::default(),
+                retries: Mutex::default(),
+                queues: Mutex::default(),
+                queue_wake: Arc::default(),
+                sessions: Mutex::default(),
+                quality: Mutex::default(),
+                rating_health: Mutex::default(),
+                prefixes: Mutex::default(),
+                rollouts: node_rollout::RolloutView::default(),
+                ledger: Arc::new(bill_ledger::BillLedger::new(
+                    process.clone(),
+                    Arc::clone(&store),
+                    copier,
+                )),
+                copies: bill_copies::BillCopies::new(Arc::clone(&store)),
+                claims: Arc::new(claim_store::ClaimStore::new(
+                    process.clone(),
+                    Arc::clone(&store),
+                    Arc::new(unix_millis),
+                )),
+                peers,
+                engine,
+                service_http,
+                serving: Arc::default(),
+                stopping: AtomicBool::new(false),
+                stopped: CancellationToken::new(),
+                started_at: Instant::now(),
+                process,
+                incarnation,
+                options,
+            }
+        }))
     }
 
     /// Time since the start of the instance.
@@ -80,16 +226,9 @@
 
     /// Whether the instance can answer requests.
     pub fn ready(&self) -> bool {
-        self.snapshot.load().sequence > 0 && !self.replicas.load().rows().is_empty()
-    }
-
-    /// Puts a configuration in force unless a newer one already is.
-    pub fn adopt(&self, snapshot: config_snapshot::ConfigSnapshot) {
-        if snapshot.sequence <= self.snapshot.load().sequence {
-            return;
-        }
-        self.tokens.store(Arc::new(token_index::TokenIndex::from_snapshot(&snapshot)));
-        self.snapshot.store(Arc::new(snapshot));
+        self.snapshot.load().sequence > 0
+            && self.view.load().freshness.starts_work()
+            && !self.stopping.load(Ordering::SeqCst)
     }
 
     /// Customer of a bearer token.
@@ -113,73 +252,67 @@
         })
     }
 
-    /// Model and version for a job without a cascade decision.
-    ///
-    /// # Errors
-    /// `model_unknown`, `model_not_allowed` or `version_withdrawn`.
-    pub fn choose_target(
-        &self,
-        job: &chat_job::ChatJob,
-    ) -> Result<chat_job::VersionTarget, error_body::RequestRefusal> {
-        let not_run = error_body::RequestRefusal::not_run;
-        let snapshot = self.snapshot.load();
-        let model = snapshot.models.get(job.request.target.as_str()).ok_or_else(|| {
-            let reason = refusal_reason::RefusalReason::ModelUnknown;
-            not_run(reason, format!("model: no record of {}", job.request.target))
-        })?;
-        let version = job.request.version.clone().unwrap_or(model.default_version.clone());
-        Ok(chat_job::VersionTarget { model: Arc::clone(model), version, repinned: false })
-    }
-
-    /// Bills an answer.
-    pub async fn bill(
-        &self,
-        job: &chat_job::ChatJob,
-        target: &chat_job::VersionTarget,
-        usage: engine_client::TokenUsage,
-        cost: ids::Microcredits,
-    ) {
-        let _ = (job, target);
-        metrics::counter!("yuccareel_bills_total").increment(1);
-        metrics::counter!("yuccareel_billed_microcredits_total").increment(cost);
-        metrics::counter!("yuccareel_tokens_total").increment(usage.completion_tokens);
-    }
-
     /// Counts a refusal by its reason.
     pub fn count_refusal(&self, refusal: &error_body::RequestRefusal) {
         metrics::counter!("yuccareel_refusals_total", "reason" => refusal.reason.code())
             .increment(1);
     }
 
-    /// Runs the systems until a shutdown has ended.
-    pub async fn run(self: Arc<Self>) {
-        let mut ticks = tokio::time::interval(TICK);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            ticks.tick().await;
-            if self.stopping.load(Ordering::SeqCst) && self.serving.load(Ordering::SeqCst) == 0 {
-                return;
-            }
-            self.refresh_config().await;
-            self.refresh_replicas().await;
-        }
+    /// Starts the calls between nodes and all systems; they end with `stopped`.
+    ///
+    /// # Errors
+    /// When the thread for calls between nodes cannot be started.
+    pub fn start(self: &Arc<Self>, peer_listener: TcpListener) -> Result<RunningNode, NodeError> {
+        let handler = Arc::new(node_handler::NodeHandler::new(Arc::clone(self)));
+        let secret = self.options.peer_secret.clone();
+        let service = peer_service::PeerService::start(peer_listener, secret, handler)?;
+        let systems = [
+            tokio::spawn(Arc::clone(self).run_configuration()),
+            tokio::spawn(Arc::clone(self).run_members()),
+            tokio::spawn(Arc::clone(self).run_replicas()),
+            tokio::spawn(Arc::clone(self).run_quota()),
+            tokio::spawn(Arc::clone(self).run_queues()),
+            tokio::spawn(Arc::clone(self).run_rollouts()),
+            tokio::spawn(Arc::clone(self).run_bills()),
+            tokio::spawn(Arc::clone(self).run_claims()),
+        ];
+        Ok(RunningNode { node: Arc::clone(self), service, systems: systems.into() })
     }
+}
 
-    async fn refresh_config(&self) {
-        let Ok(range) = self.options.store.range("config/").await else { return };
-        let decode = |entry: &kv_store::KvEntry| serde_json::from_slice(&entry.value).ok();
-        let records = range.entries.iter().filter(|entry| entry.key.starts_with("config/record/"));
-        let snapshot = config_snapshot::ConfigSnapshot::from_records(
-            range.revision.unsigned_abs(),
-            records.filter_map(decode),
-        );
-        self.adopt(snapshot);
+/// Instance whose systems run.
+pub struct RunningNode {
+    /// Instance.
+    pub node: Arc<Node>,
+    service: peer_service::PeerService,
+    systems: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl RunningNode {
+    /// Leaves the endpoint answers, finishes all requests, hands over, and ends.
+    pub async fn shut_down(mut self) {
+        let node = Arc::clone(&self.node);
+        node.stopping.store(true, Ordering::SeqCst);
+        node.members.lock().announce_leaving();
+        tokio::time::sleep(node.options.leave_time).await;
+        while node.serving.load(Ordering::SeqCst) > 0 {
+            tokio::time::sleep(STOP_POLL).await;
+        }
+        node_quota::hand_over(&node).await;
+        node.stopped.cancel();
+        for system in self.systems.drain(..) {
+            // A system that failed has nothing left to hand over.
+            let _ = system.await;
+        }
+        tokio::task::block_in_place(|| drop(self.service));
     }
 
-    async fn refresh_replicas(&self) {
-        let Ok(list) = self.options.list.read().await else { return };
-        let table = replica_table::ReplicaTable::from_list(&list, &self.replicas.load());
-        self.replicas.store(Arc::new(table));
+    /// Ends the instance at once, as a kill would.
+    pub fn kill(self) {
+        for system in &self.systems {
+            system.abort();
+        }
+        std::thread::spawn(move || drop(self.service));
     }
 }
 
@@ -191,6 +324,11 @@
 
 /// Seconds since 1970.
 pub fn unix_seconds() -> u64 {
+    unix_millis() / 1_000
+}
+
+/// Milliseconds since 1970.
+pub fn unix_millis() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.unwrap_or_default().as_secs()
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/src/node_claims.rs
@@ -0,0 +1,189 @@
+//! Claim system: asks the owner of a shard, here or at a peer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::refusal_reason::RefusalReason;
+use crate::{
+    bill_batch, claim_record, claim_table, error_body, ids, member_row, node, node_config,
+    peer_message,
+};
+
+/// Time for which a claim at this node waits for the end of another request under its key
+/// before it answers `Running`, so that a peer's call does not time out.
+const RUNNING_WAIT: Duration = Duration::from_secs(1);
+/// Time for one claim at a peer: a group commit at a slow key-value service and the wait.
+const CLAIM_LIMIT: Duration = Duration::from_secs(5);
+/// Time between two tries to claim.
+const CLAIM_PAUSE: Duration = Duration::from_millis(100);
+/// Time for which a claim is tried while the shard has no owner.
+const CLAIM_TIME: Duration = Duration::from_secs(5);
+/// Tries to tell the owner how a call ended.
+const FINISH_TRIES: u32 = 20;
+
+/// Decision on a call that must not be repeated.
+#[derive(Debug)]
+pub enum CallClaim {
+    /// Send the call once.
+    Send,
+    /// Answer of the earlier call.
+    Replay(claim_record::ClaimAnswer),
+}
+
+impl node::Node {
+    /// Owns shards and stores claims until the node stops.
+    pub async fn run_claims(self: Arc<Self>) {
+        let claims = Arc::clone(&self.claims);
+        claims.run(self.stopped.clone()).await;
+    }
+
+    /// Tells the claim store which processes live.
+    pub fn update_claim_members(&self) {
+        let now = self.clock();
+        let table = self.members.lock();
+        let live = table.entries().iter().filter(|entry| {
+            entry.row.incarnation > 0 && entry.state(now) != member_row::MemberState::Dead
+        });
+        let processes: Vec<_> = live
+            .map(|entry| bill_batch::process_name(&entry.row.name, entry.row.incarnation))
+            .collect();
+        drop(table);
+        self.claims.set_members(processes);
+    }
+
+    /// Claims a call; returns when it may be sent or an earlier answer is known.
+    ///
+    /// # Errors
+    /// `claims_unavailable` and `idempotency_conflict`, when nothing was sent under this
+    /// request; `outcome_unknown` when an earlier request under the key may have run.
+    pub async fn claim_call(
+        &self,
+        request: &claim_record::ClaimRequest,
+        deadline: Instant,
+    ) -> Result<CallClaim, error_body::RequestRefusal> {
+        let give_up = deadline.min(Instant::now() + CLAIM_TIME);
+        loop {
+            let reply = self.claim_at_owner(request).await;
+            let unavailable = match reply {
+                peer_message::ClaimReply::Granted => return Ok(CallClaim::Send),
+                peer_message::ClaimReply::Finished(answer) => return Ok(CallClaim::Replay(answer)),
+                peer_message::ClaimReply::Unknown => {
+                    return Err(error_body::RequestRefusal::unknown(
+                        RefusalReason::OutcomeUnknown,
+                        "an earlier call under this key may have run",
+                    ));
+                }
+                peer_message::ClaimReply::Conflict => {
+                    return Err(error_body::RequestRefusal::not_run(
+                        RefusalReason::IdempotencyConflict,
+                        "idempotency key was used for another request",
+                    ));
+                }
+                peer_message::ClaimReply::Running if Instant::now() < deadline => continue,
+                peer_message::ClaimReply::Running => {
+                    return Err(error_body::RequestRefusal::unknown(
+                        RefusalReason::OutcomeUnknown,
+                        "an earlier call under this key has not ended",
+                    ));
+                }
+                peer_message::ClaimReply::NotOwner => "claim shard has no owner yet".to_owned(),
+                peer_message::ClaimReply::Unavailable(message) => message,
+            };
+            if Instant::now() >= give_up {
+                let reason = RefusalReason::ClaimsUnavailable;
+                return Err(error_body::RequestRefusal::not_run(reason, unavailable));
+            }
+            tokio::time::sleep(CLAIM_PAUSE).await;
+        }
+    }
+
+    async fn claim_at_owner(
+        &self,
+        request: &claim_record::ClaimRequest,
+    ) -> peer_message::ClaimReply {
+        match self.decide_claim(request.clone()).await {
+            Err(Some(owner)) => self.claim_at_peer(&owner, request).await,
+            Err(None) => peer_message::ClaimReply::NotOwner,
+            Ok(reply) => reply,
+        }
+    }
+
+    async fn claim_at_peer(
+        &self,
+        owner: &ids::InstanceName,
+        request: &claim_record::ClaimRequest,
+    ) -> peer_message::ClaimReply {
+        let Some(peer) = self.peer_address(bill_batch::instance_name(owner)) else {
+            return peer_message::ClaimReply::NotOwner;
+        };
+        let asked = peer_message::ClaimRequest {
+            claimant: request.serving.clone(),
+            key: request.key,
+            fingerprint: request.fingerprint,
+            request: request.request,
+        };
+        // A claim that was granted in an answer that got lost is granted again under the same
+        // request id.
+        let reply = self.peers.claim(peer, CLAIM_LIMIT, &asked).await;
+        reply.unwrap_or_else(|error| peer_message::ClaimReply::Unavailable(error.to_string()))
+    }
+
+    /// Decides a claim as owner; the error names the process that should own the shard.
+    pub async fn decide_claim(
+        &self,
+        request: claim_record::ClaimRequest,
+    ) -> Result<peer_message::ClaimReply, Option<ids::InstanceName>> {
+        use peer_message::ClaimReply as Reply;
+        Ok(match self.claims.claim(request).await {
+            claim_table::ClaimVerdict::Run => Reply::Granted,
+            claim_table::ClaimVerdict::Replay(answer) => Reply::Finished(answer),
+            claim_table::ClaimVerdict::UnknownOutcome => Reply::Unknown,
+            claim_table::ClaimVerdict::Conflict => Reply::Conflict,
+            claim_table::ClaimVerdict::Unavailable(error) => Reply::Unavailable(error.to_string()),
+            claim_table::ClaimVerdict::NotOwner(owner) => {
+                return Err(owner.filter(|owner| *owner != self.process));
+            }
+            claim_table::ClaimVerdict::InProgress(end) => {
+                match tokio::time::timeout(RUNNING_WAIT, end).await {
+                    Ok(Ok(claim_table::ClaimEnd::Finished(answer))) => Reply::Finished(answer),
+                    Ok(Ok(claim_table::ClaimEnd::OutcomeUnknown)) => Reply::Unknown,
+                    Ok(Ok(claim_table::ClaimEnd::NotRun | claim_table::ClaimEnd::Moved))
+                    | Ok(Err(_))
+                    | Err(_) => Reply::Running,
+                }
+            }
+        })
+    }
+
+    /// Tells the owner how a call ended, until the owner has it or the tries are used up.
+    pub fn end_call(self: &Arc<Self>, orphan: claim_table::ClaimOrphan) {
+        let node = Arc::clone(self);
+        tokio::spawn(async move {
+            for _ in 0..FINISH_TRIES {
+                if node.try_end(&orphan).await {
+                    return;
+                }
+                tokio::time::sleep(CLAIM_PAUSE).await;
+            }
+            metrics::counter!("yuccareel_claim_ends_lost_total").increment(1);
+        });
+    }
+
+    async fn try_end(&self, orphan: &claim_table::ClaimOrphan) -> bool {
+        let owner = match self.claims.end(orphan.clone()) {
+            Ok(()) | Err(claim_table::ClaimEndError::NotHeld) => return true,
+            Err(claim_table::ClaimEndError::Loading) => return false,
+            Err(claim_table::ClaimEndError::NotOwner(owner)) => owner,
+        };
+        let Some(owner) = owner.filter(|owner| *owner != self.process) else { return false };
+        let Some(peer) = self.peer_address(bill_batch::instance_name(&owner)) else { return false };
+        let finish = peer_message::FinishRequest {
+            key: orphan.key,
+            request: orphan.request,
+            answer: orphan.answer.clone(),
+        };
+        self.peers.finish_claim(peer, node_config::SPREAD_LIMIT, &finish).await.is_ok()
+    }
+}
--- a/src/node_dispatch.rs
+++ b/src/node_dispatch.rs
@@ -1,31 +1,56 @@
-//! Dispatch checks and choice of a replica, made just before each send.
+//! Dispatch: the checks and the choice of a replica, made just before each send.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use smallvec::SmallVec;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
 
+use crate::refusal_reason::RefusalReason;
 use crate::{
-    chat_job, engine_client, error_body, ids, node, refusal_reason, replica_table, retry_reason,
+    admission_queue, chat_job, error_body, ids, node, pool_queue, prefix_index, quota_lease,
+    quota_message, replica_table, retry_budget, retry_reason, route_decision,
 };
 
+/// Time between two looks at the queues without a wake-up.
+const QUEUE_INTERVAL: Duration = Duration::from_millis(20);
+/// Least time that a request needs after it leaves the queue.
+const SERVICE_TIME: Duration = Duration::from_millis(50);
+
+/// Replicas that a request has tried.
+pub type TriedReplicas = SmallVec<[ids::ReplicaName; 4]>;
+
 /// Right to send one request to a replica; counts it in flight while it lives.
 #[derive(Debug)]
 pub struct DispatchGuard {
     /// Replica.
     pub row: replica_table::ReplicaRow,
-    _in_flight: replica_table::InFlightGuard,
+    /// Warm-up epoch of the replica at dispatch.
+    pub epoch: u64,
+    in_flight: Option<replica_table::InFlightGuard>,
+    wake: Arc<Notify>,
 }
 
-impl DispatchGuard {
-    /// Guard of one request at a replica.
-    pub fn new(row: &replica_table::ReplicaRow) -> Self {
-        let in_flight = replica_table::InFlightGuard::new(&row.in_flight);
-        Self { row: row.clone(), _in_flight: in_flight }
+impl Drop for DispatchGuard {
+    /// Frees the credit first, so that the queue finds it when it wakes.
+    fn drop(&mut self) {
+        drop(self.in_flight.take());
+        self.wake.notify_one();
     }
 }
 
+/// One decision to be made.
+struct DispatchQuery<'a> {
+    customer: &'a ids::CustomerName,
+    pool: &'a replica_table::ReplicaPool,
+    deadline: Duration,
+    tried: &'a TriedReplicas,
+    prefixes: &'a prefix_index::PromptPrefixes,
+}
+
 impl node::Node {
-    /// Chooses a replica for a step of a job.
+    /// Chooses a replica for a step of a job; waits in the pool's queue while none has credit.
     ///
     /// # Errors
     /// With the first dispatch check that fails.
@@ -33,85 +58,281 @@
         &self,
         job: &chat_job::ChatJob,
         target: &chat_job::VersionTarget,
-        tried: &SmallVec<[ids::ReplicaName; 4]>,
-        _attempts: u32,
+        tried: &TriedReplicas,
+        attempts: u32,
     ) -> Result<DispatchGuard, error_body::RequestRefusal> {
-        self.check_target(job, target)?;
-        let table = self.replicas.load();
         let pool =
             replica_table::ReplicaPool::Version(target.model.name.clone(), target.version.clone());
-        let snapshot = self.snapshot.load();
-        let row = table
-            .pool(&pool)
-            .iter()
-            .map(|&index| table.row(index))
-            .filter(|row| !row.leaving && !snapshot.drained(&row.data_centre))
-            .filter(|row| !tried.contains(&row.name))
-            .min_by_key(|row| row.in_flight.load(std::sync::atomic::Ordering::Relaxed));
-        row.map(DispatchGuard::new).ok_or_else(|| {
-            let reason = refusal_reason::RefusalReason::NoReplica;
-            error_body::RequestRefusal::not_run(reason, "no live replica of an allowed version")
-        })
+        let prefixes = prefix_index::prompt_prefixes(job.request.prompt.as_bytes());
+        let lane = pool_queue::lane(job);
+        let guard = self
+            .dispatch_in_pool(&job.customer.name, &pool, lane, job.deadline, tried, &prefixes)
+            .await?;
+        if attempts == 0 {
+            self.retries.lock().record_first(&job.customer.name, &guard.row.name);
+        }
+        self.prefixes.lock().record_send(&guard.row.name, &prefixes);
+        Ok(guard)
     }
 
-    /// Repeats the checks for a request that goes back to the same replica.
+    /// Chooses a replica of a pool; waits in its queue while none has credit.
     ///
     /// # Errors
-    /// With the first check that fails.
-    pub fn recheck(
+    /// With the first dispatch check that fails.
+    pub async fn dispatch_in_pool(
         &self,
-        job: &chat_job::ChatJob,
-        target: &chat_job::VersionTarget,
-        dispatch: &DispatchGuard,
-    ) -> Result<(), error_body::RequestRefusal> {
-        self.check_target(job, target)?;
-        if self.snapshot.load().drained(&dispatch.row.data_centre) {
-            let reason = refusal_reason::RefusalReason::DataCentreDrained;
-            return Err(error_body::RequestRefusal::unknown(reason, "data centre was drained"));
+        customer: &ids::CustomerName,
+        pool: &replica_table::ReplicaPool,
+        lane: admission_queue::RequestLane,
+        deadline: Instant,
+        tried: &TriedReplicas,
+        prefixes: &prefix_index::PromptPrefixes,
+    ) -> Result<DispatchGuard, error_body::RequestRefusal> {
+        let deadline = self.clock() + deadline.saturating_duration_since(Instant::now());
+        let waiting = self.queues.lock().get(pool).is_some_and(|queue| !queue.is_empty());
+        if !waiting {
+            let query = DispatchQuery { customer, pool, deadline, tried, prefixes };
+            match self.decide(&query) {
+                Err(RefusalReason::Overloaded | RefusalReason::ColdStart) => {}
+                Ok(guard) => return Ok(guard),
+                Err(reason) => return Err(refusal(reason)),
+            }
         }
-        Ok(())
+        let (answer, answered) = oneshot::channel();
+        let request = admission_queue::QueuedRequest {
+            customer: customer.clone(),
+            lane,
+            deadline,
+            expected: SERVICE_TIME,
+            cost: 1,
+            payload: pool_queue::WaitingRequest {
+                answer,
+                tried: tried.clone(),
+                prefixes: prefixes.clone(),
+            },
+        };
+        self.enqueue(pool, request)?;
+        self.state_use();
+        let outcome = answered.await.unwrap_or(Err(RefusalReason::ShuttingDown));
+        outcome.map_err(refusal)
     }
 
-    fn check_target(
+    fn enqueue(
         &self,
-        job: &chat_job::ChatJob,
-        target: &chat_job::VersionTarget,
+        pool: &replica_table::ReplicaPool,
+        request: admission_queue::QueuedRequest<pool_queue::WaitingRequest>,
     ) -> Result<(), error_body::RequestRefusal> {
-        let snapshot = self.snapshot.load();
-        let not_run = error_body::RequestRefusal::not_run;
-        let customer = snapshot.customers.get(&job.customer.name);
-        if !customer.is_some_and(|customer| customer.allows(&target.model.name, &target.version)) {
-            let reason = refusal_reason::RefusalReason::ModelNotAllowed;
-            return Err(not_run(reason, "customer may not use this model and version"));
+        let now = self.clock();
+        let mut queues = self.queues.lock();
+        let queue = queues.entry(pool.clone()).or_insert_with(|| {
+            let weights = pool_queue::weights(&self.snapshot.load());
+            admission_queue::AdmissionQueue::new(pool_queue::QUEUE_BOUND, weights)
+        });
+        queue.push(request, now).map_err(|refused| refusal(refused.reason))
+    }
+
+    fn decide(&self, query: &DispatchQuery<'_>) -> Result<DispatchGuard, RefusalReason> {
+        let (snapshot, table) = (self.snapshot.load(), self.replicas.load());
+        let (subset, view) = (self.subset.load(), self.view.load());
+        let shares = self.shares.lock();
+        let tables = route_decision::RouteTables {
+            snapshot: &snapshot,
+            table: &table,
+            subset: &subset,
+            shares: &shares,
+            nodes: view.members.len().max(1),
+            fresh: view.freshness.starts_work(),
+        };
+        let bonus = self.prefix_bonus(query, &table, &subset);
+        let request = route_decision::RouteRequest {
+            customer: query.customer,
+            pool: query.pool,
+            deadline: query.deadline,
+            excluded: query.tried,
+            prefix_bonus: &bonus,
+        };
+        let dispatch = route_decision::decide(tables, request, self.clock(), &mut rand::rng())?;
+        let row = table.row(dispatch.replica).clone();
+        let kind = quota_message::ResourceKind::ReplicaConcurrency;
+        let epoch = match shares.state(kind, &row.name, self.clock()) {
+            quota_lease::ShareState::Leased { epoch, .. } => epoch,
+            quota_lease::ShareState::Unasked | quota_lease::ShareState::NoHome => 0,
+        };
+        Ok(DispatchGuard {
+            row,
+            epoch,
+            in_flight: Some(dispatch.in_flight),
+            wake: Arc::clone(&self.queue_wake),
+        })
+    }
+
+    fn prefix_bonus(
+        &self,
+        query: &DispatchQuery<'_>,
+        table: &replica_table::ReplicaTable,
+        subset: &crate::replica_subset::ReplicaSubset,
+    ) -> SmallVec<[(replica_table::ReplicaIndex, f64); 8]> {
+        if query.prefixes.is_empty() {
+            return SmallVec::new();
         }
-        if !snapshot.version_active(&target.model.name, &target.version) {
-            let reason = refusal_reason::RefusalReason::VersionWithdrawn;
-            return Err(not_run(reason, "version is withdrawn"));
+        let index = self.prefixes.lock();
+        let members = subset.members(query.pool).iter();
+        let bonuses = members.map(|member| {
+            (member.index, index.bonus(&table.row(member.index).name, query.prefixes))
+        });
+        bonuses.filter(|(_, bonus)| *bonus > 0.0).collect()
+    }
+
+    /// Serves the queues when credit becomes free.
+    pub async fn run_queues(self: Arc<Self>) {
+        loop {
+            tokio::select! {
+                () = self.stopped.cancelled() => return,
+                () = tokio::time::sleep(QUEUE_INTERVAL) => {}
+                () = self.queue_wake.notified() => {}
+            }
+            self.serve_queues();
         }
-        Ok(())
     }
 
-    /// Whether the retry budget allows another attempt.
-    pub fn retry_allowed(
-        &self,
-        _customer: &ids::CustomerName,
-        _replica: &ids::ReplicaName,
-        _reason: retry_reason::RetryReason,
-    ) -> bool {
-        true
+    fn serve_queues(&self) {
+        let pools: Vec<_> = {
+            let queues = self.queues.lock();
+            let waiting = queues.iter().filter(|(_, queue)| !queue.is_empty());
+            waiting.map(|(pool, _)| pool.clone()).collect()
+        };
+        let mut short = false;
+        for pool in pools {
+            short |= self.serve_queue(&pool);
+        }
+        if short {
+            self.state_use();
+        }
     }
 
-    /// Learns from the boot identifier of a reply.
-    pub fn note_boot(&self, _dispatch: &DispatchGuard, _boot: Option<&ids::BootId>) {}
+    /// Serves one queue until it is empty or no credit is left; true in the second case.
+    fn serve_queue(&self, pool: &replica_table::ReplicaPool) -> bool {
+        loop {
+            let popped = {
+                let mut queues = self.queues.lock();
+                queues.get_mut(pool).and_then(|queue| queue.pop(self.clock()))
+            };
+            let request = match popped {
+                None => return false,
+                Some(admission_queue::QueueOutcome::Refuse(refused)) => {
+                    // The caller may have gone; then nobody waits for the answer.
+                    let _ = refused.request.payload.answer.send(Err(refused.reason));
+                    continue;
+                }
+                Some(admission_queue::QueueOutcome::Dispatch(request)) => request,
+            };
+            if request.payload.answer.is_closed() {
+                continue;
+            }
+            let query = DispatchQuery {
+                customer: &request.customer,
+                pool,
+                deadline: request.deadline,
+                tried: &request.payload.tried,
+                prefixes: &request.payload.prefixes,
+            };
+            match self.decide(&query) {
+                Err(RefusalReason::Overloaded | RefusalReason::ColdStart) => {
+                    if let Some(queue) = self.queues.lock().get_mut(pool) {
+                        queue.restore(request);
+                    }
+                    return true;
+                }
+                outcome => drop(request.payload.answer.send(outcome)),
+            }
+        }
+    }
 
-    /// Learns from the time to the first token.
-    pub fn note_first_token(&self, _dispatch: &DispatchGuard, elapsed: Duration) {
-        metrics::histogram!("yuccareel_first_token_seconds").record(elapsed.as_secs_f64());
+    /// Waiting requests of all pools that were ever used.
+    pub fn waiting_by_pool(&self) -> Vec<(replica_table::ReplicaPool, u64)> {
+        let queues = self.queues.lock();
+        queues.iter().map(|(pool, queue)| (pool.clone(), queue.len() as u64)).collect()
     }
 
-    /// Learns from an answer that came whole.
-    pub fn note_success(&self, _dispatch: &DispatchGuard) {}
+    /// Repeats the checks for a request that goes back to the same replica.
+    ///
+    /// # Errors
+    /// With the first check that fails; the request has run.
+    pub fn recheck(
+        &self,
+        job: &chat_job::ChatJob,
+        target: &chat_job::VersionTarget,
+        dispatch: &DispatchGuard,
+    ) -> Result<(), error_body::RequestRefusal> {
+        let (snapshot, table) = (self.snapshot.load(), self.replicas.load());
+        let (subset, view) = (self.subset.load(), self.view.load());
+        let pool =
+            replica_table::ReplicaPool::Version(target.model.name.clone(), target.version.clone());
+        let shares = self.shares.lock();
+        let tables = route_decision::RouteTables {
+            snapshot: &snapshot,
+            table: &table,
+            subset: &subset,
+            shares: &shares,
+            nodes: view.members.len().max(1),
+            fresh: view.freshness.starts_work(),
+        };
+        let now = self.clock();
+        let request = route_decision::RouteRequest {
+            customer: &job.customer.name,
+            pool: &pool,
+            deadline: now + job.deadline.saturating_duration_since(Instant::now()),
+            excluded: &[],
+            prefix_bonus: &[],
+        };
+        let checked = route_decision::check_request(tables, request, now);
+        let leaving = table.find(&dispatch.row.name).is_none_or(|row| row.leaving);
+        let reason = match checked {
+            Err(reason) => reason,
+            Ok(()) if snapshot.drained(&dispatch.row.data_centre) => {
+                RefusalReason::DataCentreDrained
+            }
+            Ok(()) if leaving => RefusalReason::NoReplica,
+            Ok(()) => return Ok(()),
+        };
+        Err(error_body::RequestRefusal::unknown(reason, "answer could not be resumed"))
+    }
+
+    /// Whether the retry rules and budgets allow another attempt.
+    pub fn retry_allowed(
+        &self,
+        customer: &ids::CustomerName,
+        replica: &ids::ReplicaName,
+        reason: retry_reason::RetryReason,
+        progress: retry_budget::SendProgress,
+        attempts: u32,
+    ) -> bool {
+        match retry_budget::verdict(reason, true, progress, attempts) {
+            retry_budget::RetryVerdict::RetryFree | retry_budget::RetryVerdict::Resume => true,
+            retry_budget::RetryVerdict::Never => false,
+            retry_budget::RetryVerdict::RetryPaid => {
+                let allowed = self.retries.lock().take(customer, replica);
+                if !allowed {
+                    metrics::counter!("yuccareel_retries_denied_total").increment(1);
+                }
+                allowed
+            }
+        }
+    }
+}
 
-    /// Learns from a failed attempt.
-    pub fn note_failure(&self, _dispatch: &DispatchGuard, _error: &engine_client::AttemptError) {}
+/// Refusal of a request that was not sent.
+pub fn refusal(reason: RefusalReason) -> error_body::RequestRefusal {
+    let message = match reason {
+        RefusalReason::Overloaded => "no capacity within the deadline",
+        RefusalReason::ColdStart => "replicas warm up and take no more requests now",
+        RefusalReason::NoReplica => "no live replica of an allowed version",
+        RefusalReason::DataCentreDrained => "the permitted replicas are in drained data centres",
+        RefusalReason::Isolated => "this instance cannot confirm its configuration",
+        RefusalReason::DeadlineExceeded => "deadline passed before a replica was free",
+        RefusalReason::VersionWithdrawn => "version is withdrawn",
+        RefusalReason::ModelNotAllowed => "customer may not use this model and version",
+        _ => "request was not sent",
+    };
+    error_body::RequestRefusal::not_run(reason, message)
 }
--- /dev/null
+++ b/src/node_members.rs
@@ -0,0 +1,250 @@
+//! Membership system: heartbeats, the instance list and the view derived from them.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crate::{
+    endpoint_answer, freshness, ids, instance_list, member_choice, member_row, node, node_view,
+    peer_message,
+};
+
+/// Time between two heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for one heartbeat.
+const HEARTBEAT_LIMIT: Duration = Duration::from_secs(1);
+/// Time between two reads of the instance list by a watcher.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// Age of the list above which a node that is no watcher reads it itself.
+const LIST_STALE: Duration = Duration::from_secs(10);
+
+impl node::Node {
+    /// Sends heartbeats and reads the instance list.
+    pub async fn run_members(self: Arc<Self>) {
+        let heartbeats = Arc::clone(&self).run_heartbeats();
+        let lists = Arc::clone(&self).run_lists();
+        tokio::select! {
+            () = self.stopped.cancelled() => {}
+            () = heartbeats => {}
+            () = lists => {}
+        }
+    }
+
+    async fn run_heartbeats(self: Arc<Self>) {
+        let mut ticks = tokio::time::interval(HEARTBEAT_INTERVAL);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.members.lock().forget_dead(self.clock());
+            self.refresh_view();
+            for (peer, heartbeat) in self.next_heartbeats() {
+                tokio::spawn(Arc::clone(&self).exchange(peer, heartbeat));
+            }
+        }
+    }
+
+    fn next_heartbeats(&self) -> Vec<(std::net::SocketAddr, peer_message::Heartbeat)> {
+        let (now, status) = (self.clock(), self.status());
+        let mut table = self.members.lock();
+        let chosen = member_choice::heartbeat_targets(&table, now, &mut rand::rng());
+        let targets: Vec<_> = chosen.into_iter().map(|entry| entry.row.peer_address).collect();
+        targets.into_iter().map(|peer| (peer, table.heartbeat(now, status))).collect()
+    }
+
+    async fn exchange(
+        self: Arc<Self>,
+        peer: std::net::SocketAddr,
+        heartbeat: peer_message::Heartbeat,
+    ) {
+        let sent_at = self.clock();
+        let sent = self.peers.heartbeat(peer, HEARTBEAT_LIMIT, heartbeat.clone()).await;
+        let Ok(reply) = sent else {
+            metrics::counter!("yuccareel_heartbeats_failed_total").increment(1);
+            return;
+        };
+        self.members.lock().merge_reply(sent_at, &heartbeat, &reply);
+        self.learn_status(sent_at, &reply.status, peer).await;
+    }
+
+    /// Fetches what a peer has and this node lacks.
+    pub async fn fetch_news(&self, status: &peer_message::NodeStatus, peer: std::net::SocketAddr) {
+        let own = self.status();
+        let newer_list = status.list_digest != own.list_digest
+            && status.list_age.is_some_and(|age| own.list_age.is_none_or(|known| age < known));
+        if status.sequence > own.sequence || newer_list {
+            self.fetch_from(peer, newer_list).await;
+        }
+    }
+
+    /// Learns from the reply of a peer. Only a reply tells how old its status can be: a
+    /// heartbeat may have waited in a buffer since it was sent.
+    async fn learn_status(
+        &self,
+        sent_at: Duration,
+        status: &peer_message::NodeStatus,
+        peer: std::net::SocketAddr,
+    ) {
+        self.fetch_news(status, peer).await;
+        let in_effect = self.log.lock().sequence();
+        self.confirmation.lock().adopt(sent_at, status, in_effect);
+        self.refresh_view();
+    }
+
+    /// Status for heartbeats.
+    pub fn status(&self) -> peer_message::NodeStatus {
+        let now = self.clock();
+        let sequence = self.log.lock().sequence();
+        let confirmation_age = self.confirmation.lock().age(now);
+        let listed = self.listed.lock();
+        peer_message::NodeStatus {
+            sequence,
+            confirmation_age,
+            list_digest: listed.digest,
+            list_age: listed.read_at.map(|read_at| now.saturating_sub(read_at)),
+        }
+    }
+
+    /// Recomputes members, freshness and endpoints.
+    pub fn refresh_view(&self) {
+        let now = self.clock();
+        let table = self.members.lock();
+        let freshness = self.confirmation.lock().freshness(now, table.reach(now));
+        let former = self.view.load();
+        if former.freshness != freshness {
+            metrics::gauge!("yuccareel_freshness").set(freshness_value(freshness));
+        }
+        let serving = |entry: &&member_row::MemberEntry| {
+            matches!(
+                entry.state(now),
+                member_row::MemberState::Live | member_row::MemberState::Suspect
+            )
+        };
+        let live = table.entries().iter().filter(serving);
+        let mut members: Vec<ids::InstanceName> =
+            live.map(|entry| entry.row.name.clone()).collect();
+        members.sort_unstable();
+        if former.members == members && former.freshness == freshness {
+            return;
+        }
+        let addresses: Vec<_> = table.entries().iter().map(|entry| endpoint(entry, now)).collect();
+        drop(table);
+        self.home.lock().set_members(&members, now);
+        let snapshot = self.snapshot.load();
+        let directory = endpoint_answer::EndpointDirectory::build(
+            &addresses,
+            &snapshot,
+            &self.options.data_centre,
+        );
+        self.endpoints.store(Arc::new(directory));
+        self.view.store(Arc::new(node_view::NodeView { freshness, members }));
+        self.update_claim_members();
+    }
+
+    async fn run_lists(self: Arc<Self>) {
+        let mut ticks = tokio::time::interval(LIST_INTERVAL);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let now = self.clock();
+            let read_at = self.listed.lock().read_at;
+            let stale = read_at.is_none_or(|read_at| now.saturating_sub(read_at) > LIST_STALE);
+            if !stale && !self.watches() {
+                continue;
+            }
+            match self.options.list.read().await {
+                Ok(entries) => self.adopt_list(entries, now),
+                Err(_) => metrics::counter!("yuccareel_list_reads_failed_total").increment(1),
+            }
+        }
+    }
+
+    /// Takes an instance list that is newer than the known one; pushes what changed.
+    pub fn adopt_list(&self, mut entries: Vec<instance_list::ListedInstance>, read_at: Duration) {
+        entries.sort_by(|left, right| left.name.cmp(&right.name));
+        let push = {
+            let mut listed = self.listed.lock();
+            if listed.read_at.is_some_and(|known| known >= read_at) {
+                return;
+            }
+            let push = changed_entries(&listed.entries, &entries);
+            listed.set(entries, read_at);
+            push
+        };
+        let Some(push) = push else { return };
+        self.merge_listed(self.clock());
+        self.push(push);
+    }
+
+    /// Applies changed entries that a peer pushed; false when nothing was new.
+    pub fn apply_listed(&self, request: &peer_message::PushRequest) -> bool {
+        let changed = {
+            let mut listed = self.listed.lock();
+            let mut entries = listed.entries.clone();
+            entries.retain(|entry| {
+                !request.removed_instances.contains(&entry.name)
+                    && !request.instances.iter().any(|instance| instance.name == entry.name)
+            });
+            entries.extend(request.instances.iter().cloned());
+            entries.sort_by(|left, right| left.name.cmp(&right.name));
+            let changed = entries != listed.entries;
+            let read_at = listed.read_at.unwrap_or_default();
+            if changed {
+                listed.set(entries, read_at);
+            }
+            changed
+        };
+        if changed {
+            self.merge_listed(self.clock());
+        }
+        changed
+    }
+
+    fn merge_listed(&self, now: Duration) {
+        let entries = self.listed.lock().entries.clone();
+        self.members.lock().merge_list(now, &entries);
+        self.replace_replicas(&entries);
+        self.refresh_view();
+    }
+
+    /// Whether this node refuses new work because it is leaving.
+    pub fn leaving(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+}
+
+fn endpoint(entry: &member_row::MemberEntry, now: Duration) -> endpoint_answer::EndpointMember {
+    endpoint_answer::EndpointMember {
+        address: entry.row.address,
+        data_centre: entry.row.data_centre.clone(),
+        live: entry.state(now) == member_row::MemberState::Live,
+    }
+}
+
+fn freshness_value(freshness: freshness::Freshness) -> f64 {
+    match freshness {
+        freshness::Freshness::Confirmed => 2.0,
+        freshness::Freshness::OutageQuorum => 1.0,
+        freshness::Freshness::Isolated => 0.0,
+    }
+}
+
+/// Difference of two sorted lists as a push; none when they are equal.
+fn changed_entries(
+    former: &[instance_list::ListedInstance],
+    next: &[instance_list::ListedInstance],
+) -> Option<peer_message::PushRequest> {
+    let known = |entry: &&instance_list::ListedInstance| {
+        let found = former.binary_search_by(|known| known.name.cmp(&entry.name));
+        found.is_ok_and(|position| former[position] == **entry)
+    };
+    let instances: Vec<_> = next.iter().filter(|entry| !known(entry)).cloned().collect();
+    let gone = |entry: &&instance_list::ListedInstance| {
+        next.binary_search_by(|known| known.name.cmp(&entry.name)).is_err()
+    };
+    let removed_instances: Vec<_> =
+        former.iter().filter(gone).map(|entry| entry.name.clone()).collect();
+    if instances.is_empty() && removed_instances.is_empty() {
+        return None;
+    }
+    Some(peer_message::PushRequest { instances, removed_instances, ..Default::default() })
+}
--- /dev/null
+++ b/src/node_replicas.rs
@@ -0,0 +1,221 @@
+//! Replica system: load reports, warm-up signs and routes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt as _;
+
+use crate::{
+    cold_start, config_snapshot, engine_client, ids, instance_list, node, node_config,
+    node_dispatch, peer_message, quota_home, quota_message, rendezvous, replica_subset,
+    replica_table, retry_reason,
+};
+
+/// Time between two load reports of a replica.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Load reports read at once.
+const REPORTS_AT_ONCE: usize = 16;
+
+/// What this node learned of one replica.
+#[derive(Clone, Debug, Default)]
+pub struct LearnedRow {
+    /// Time to the first token.
+    pub first_token: cold_start::FirstTokenTime,
+    /// Answers in time within the warm-up epoch.
+    pub answers: u64,
+    /// Warm-up epoch of the answers.
+    pub epoch: u64,
+    /// Start of the engine process that answered last.
+    pub boot: Option<ids::BootId>,
+    /// Clock of the last request for the replica's pool.
+    pub wanted_at: Option<Duration>,
+}
+
+impl node::Node {
+    /// Reads load reports of the replicas that this node uses or is home of.
+    pub async fn run_replicas(self: Arc<Self>) {
+        let mut ticks = tokio::time::interval(REPORT_INTERVAL);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = self.stopped.cancelled() => return,
+                _ = ticks.tick() => self.read_reports().await,
+            }
+        }
+    }
+
+    async fn read_reports(&self) {
+        let table = self.replicas.load_full();
+        let view = self.view.load();
+        let subset = self.subset.load();
+        let used: std::collections::HashSet<_> = subset.all().map(|member| member.index).collect();
+        let mut read: Vec<(ids::ReplicaName, std::net::SocketAddr)> = Vec::new();
+        for (index, row) in table.rows().iter().enumerate() {
+            let home = replica_home(&row.name, &view.members);
+            if used.contains(&index) || home == Some(&self.options.name) {
+                read.push((row.name.clone(), row.address));
+            }
+        }
+        let engine = &self.engine;
+        let reads = read.into_iter().map(|(name, address)| async move {
+            let report = engine.load(address).await;
+            (name, report)
+        });
+        let reports: Vec<_> =
+            futures::stream::iter(reads).buffer_unordered(REPORTS_AT_ONCE).collect().await;
+        self.adopt_reports(reports);
+    }
+
+    fn adopt_reports(
+        &self,
+        reports: Vec<(ids::ReplicaName, Result<engine_client::EngineLoad, reqwest::Error>)>,
+    ) {
+        let now = self.clock();
+        let mut table = (**self.replicas.load()).clone();
+        let mut received = Vec::new();
+        for (name, report) in reports {
+            let Ok(load) = report else {
+                metrics::counter!("yuccareel_load_reports_failed_total").increment(1);
+                continue;
+            };
+            let report = engine_client::load_report(load, now);
+            table.record_report(&name, report.clone());
+            received.push((name, report));
+        }
+        let table = Arc::new(table);
+        self.replicas.store(Arc::clone(&table));
+        let snapshot = self.snapshot.load();
+        let tables = quota_home::QuotaTables { snapshot: &snapshot, table: &table };
+        let mut home = self.home.lock();
+        for (name, report) in received {
+            home.apply_report(&name, &report, tables, now);
+        }
+    }
+
+    /// Replaces the replicas by those of an instance list.
+    pub fn replace_replicas(&self, list: &[instance_list::ListedInstance]) {
+        let table = replica_table::ReplicaTable::from_list(list, &self.replicas.load());
+        self.replicas.store(Arc::new(table));
+        self.rebuild_routes();
+        self.queue_wake.notify_one();
+    }
+
+    /// Rebuilds what is derived from configuration and replicas.
+    pub fn rebuild_routes(&self) {
+        let (snapshot, table) = (self.snapshot.load(), self.replicas.load());
+        let subset = replica_subset::ReplicaSubset::build(
+            &snapshot,
+            &table,
+            &self.options.name,
+            &self.options.data_centre,
+        );
+        self.subset.store(Arc::new(subset));
+    }
+
+    /// Treats the replicas of data centres that return as cold.
+    pub fn mark_returned(&self, next: &config_snapshot::ConfigSnapshot) {
+        let former = self.snapshot.load();
+        let table = self.replicas.load();
+        let returned = table
+            .rows()
+            .iter()
+            .filter(|row| former.drained(&row.data_centre) && !next.drained(&row.data_centre));
+        for row in returned {
+            self.report_sign(&row.name, cold_start::WarmupSign::Returned);
+        }
+    }
+
+    /// Tells the home of a replica what was seen of it.
+    pub fn report_sign(&self, replica: &ids::ReplicaName, sign: cold_start::WarmupSign) {
+        let view = self.view.load();
+        let Some(home) = replica_home(replica, &view.members) else { return };
+        if *home == self.options.name {
+            self.apply_sign(replica, sign);
+            return;
+        }
+        let Some(peer) = self.peer_address(home) else { return };
+        let report = peer_message::ColdReport { replica: replica.clone(), sign };
+        let peers = self.peers.clone();
+        tokio::spawn(
+            async move { peers.report_cold(peer, node_config::SPREAD_LIMIT, &report).await },
+        );
+    }
+
+    /// Applies a sign at this node as home.
+    pub fn apply_sign(&self, replica: &ids::ReplicaName, sign: cold_start::WarmupSign) {
+        let (snapshot, table) = (self.snapshot.load(), self.replicas.load());
+        let tables = quota_home::QuotaTables { snapshot: &snapshot, table: &table };
+        let turned = self.home.lock().apply_sign(replica, sign, tables, self.clock());
+        if turned {
+            metrics::counter!("yuccareel_replicas_turned_cold_total").increment(1);
+        }
+    }
+
+    /// Address for calls to a node.
+    pub fn peer_address(&self, name: &str) -> Option<std::net::SocketAddr> {
+        self.members.lock().find(name).map(|entry| entry.row.peer_address)
+    }
+
+    /// Learns from the boot identifier of a reply.
+    pub fn note_boot(&self, dispatch: &node_dispatch::DispatchGuard, boot: Option<&ids::BootId>) {
+        let Some(boot) = boot else { return };
+        let name = &dispatch.row.name;
+        let changed = {
+            let mut learned = self.learned.lock();
+            let row = learned.entry(name.clone()).or_default();
+            let changed = row.boot.as_ref().is_some_and(|known| known != boot);
+            row.boot = Some(boot.clone());
+            changed
+        };
+        if changed {
+            self.prefixes.lock().forget(name);
+            self.report_sign(name, cold_start::WarmupSign::Boot(boot.clone()));
+        }
+    }
+
+    /// Learns from the time to the first token.
+    pub fn note_first_token(&self, dispatch: &node_dispatch::DispatchGuard, elapsed: Duration) {
+        metrics::histogram!("yuccareel_first_token_seconds").record(elapsed.as_secs_f64());
+        let name = &dispatch.row.name;
+        let slow = {
+            let mut learned = self.learned.lock();
+            learned.entry(name.clone()).or_default().first_token.record(elapsed)
+        };
+        if slow {
+            self.report_sign(name, cold_start::WarmupSign::SlowFirstToken);
+        }
+    }
+
+    /// Learns from an answer that came whole.
+    pub fn note_success(&self, dispatch: &node_dispatch::DispatchGuard) {
+        let mut learned = self.learned.lock();
+        let row = learned.entry(dispatch.row.name.clone()).or_default();
+        if row.epoch != dispatch.epoch {
+            (row.epoch, row.answers) = (dispatch.epoch, 0);
+        }
+        row.answers += 1;
+    }
+
+    /// Learns from a failed attempt.
+    pub fn note_failure(
+        &self,
+        dispatch: &node_dispatch::DispatchGuard,
+        error: &engine_client::AttemptError,
+    ) {
+        metrics::counter!("yuccareel_attempts_failed_total", "reason" => error.reason.code())
+            .increment(1);
+        if error.reason == retry_reason::RetryReason::BackendCold {
+            self.report_sign(&dispatch.row.name, cold_start::WarmupSign::Refused);
+        }
+    }
+}
+
+/// Home of a replica's concurrency.
+pub fn replica_home<'a>(
+    replica: &ids::ReplicaName,
+    members: &'a [ids::InstanceName],
+) -> Option<&'a ids::InstanceName> {
+    let kind = quota_message::ResourceKind::ReplicaConcurrency;
+    let key = quota_message::ResourceKey::new(kind, replica.clone()).hash_key();
+    rendezvous::home(&key, members)
+}
--- /dev/null
+++ b/src/node_rollout.rs
@@ -0,0 +1,299 @@
+//! Rollout system: evidence of this node, its way to the holder, and the holder's role.
+//!
+//! Every node sends its evidence to the first watcher of its data centre, which
+//! adds it up and sends it on to the holder. The states of the rollouts travel
+//! back as the answers.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::{
+    chat_job, config_snapshot, ids, kv_store, member_choice, node, node_config, peer_message,
+    records, rollout_evidence, rollout_holder, rollout_stage,
+};
+
+/// Time between two reports of evidence.
+const EVIDENCE_INTERVAL: Duration = Duration::from_secs(1);
+/// First-token time above which an answer counts as slow.
+pub const SLOW_FIRST_TOKEN: Duration = Duration::from_millis(460);
+
+/// Outcome of one answer as evidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerOutcome {
+    /// Whole answer, and whether its first token came late.
+    Whole(bool),
+    /// Failed answer.
+    Failed,
+    /// Rating of an answer that was counted before: whether it met the quality target.
+    Rated(bool),
+}
+
+impl AnswerOutcome {
+    fn add_to(self, evidence: &mut rollout_evidence::VersionEvidence) {
+        match self {
+            Self::Whole(slow) => evidence.record(false, None, slow),
+            Self::Failed => evidence.record(true, None, false),
+            Self::Rated(passed) => evidence.rate(passed),
+        }
+    }
+}
+
+/// Rollouts as this node knows them.
+#[derive(Default)]
+pub struct RolloutView {
+    /// States as the holder last wrote them.
+    pub states: ArcSwap<peer_message::RolloutStates>,
+    /// Versions that this node stopped by itself.
+    pub stops: Mutex<rollout_stage::LocalStops>,
+    /// Evidence that has not been sent on.
+    collectors: Mutex<HashMap<ids::RolloutName, rollout_evidence::EvidenceCollector>>,
+    sequence: Mutex<u64>,
+}
+
+impl RolloutView {
+    /// Version that a new session prefers.
+    pub fn preferred(
+        &self,
+        snapshot: &config_snapshot::ConfigSnapshot,
+        model: &str,
+        session: &str,
+    ) -> Option<ids::VersionName> {
+        let (states, stops) = (self.states.load(), self.stops.lock());
+        rollout_stage::preferred_version(snapshot, &states, &stops, model, session)
+    }
+
+    /// Adds evidence that a node sent; false when it is a repetition.
+    pub fn record(&self, report: &rollout_evidence::EvidenceReport) -> bool {
+        let mut collectors = self.collectors.lock();
+        collectors.entry(report.rollout.clone()).or_default().record(report)
+    }
+
+    fn take(
+        &self,
+        rollout: &ids::RolloutName,
+    ) -> (rollout_evidence::EvidenceBlock, BTreeSet<ids::InstanceName>) {
+        self.collectors.lock().entry(rollout.clone()).or_default().take()
+    }
+
+    fn next_sequence(&self) -> u64 {
+        let mut sequence = self.sequence.lock();
+        *sequence += 1;
+        *sequence
+    }
+}
+
+impl node::Node {
+    /// Records the outcome of an answer of a version that is part of a rollout.
+    pub fn note_outcome(&self, target: &chat_job::VersionTarget, outcome: AnswerOutcome) {
+        let snapshot = self.snapshot.load();
+        let rollouts = snapshot.rollouts.values();
+        let Some(rollout) = rollouts.clone().find(|rollout| {
+            rollout.model == target.model.name
+                && (rollout.from == target.version || rollout.to == target.version)
+        }) else {
+            return;
+        };
+        let mut block = rollout_evidence::EvidenceBlock::default();
+        let is_new = rollout.to == target.version;
+        let side = if is_new { &mut block.to } else { &mut block.from };
+        outcome.add_to(side);
+        let mut stopped = BTreeSet::new();
+        if is_new {
+            let mut stops = self.rollouts.stops.lock();
+            let failed = outcome == AnswerOutcome::Failed;
+            let counts = !matches!(outcome, AnswerOutcome::Rated(_));
+            if counts && stops.record(&target.model.name, &target.version, failed) {
+                metrics::counter!("yuccareel_versions_stopped_total").increment(1);
+            }
+            if stops.stopped(&target.model.name, &target.version) {
+                stopped.insert(self.process.clone());
+            }
+        }
+        self.rollouts.record(&rollout_evidence::EvidenceReport {
+            rollout: rollout.name.clone(),
+            sender: format!("{}/answers", self.process).into(),
+            sequence: self.rollouts.next_sequence(),
+            block,
+            stopped,
+        });
+    }
+
+    /// Whether a version's answers are evidence for a rollout.
+    pub fn under_rollout(&self, target: &chat_job::VersionTarget) -> bool {
+        let snapshot = self.snapshot.load();
+        snapshot.rollouts.values().any(|rollout| {
+            rollout.model == target.model.name
+                && (rollout.from == target.version || rollout.to == target.version)
+        })
+    }
+
+    /// Sends evidence each second and campaigns for the holder's role on watchers.
+    pub async fn run_rollouts(self: Arc<Self>) {
+        let store: Arc<dyn kv_store::KvStore> = Arc::clone(&self.options.store);
+        let mut holder = rollout_holder::RolloutHolder::new(store, self.process.clone());
+        let mut held = HeldRollouts::default();
+        let mut ticks = tokio::time::interval(EVIDENCE_INTERVAL);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = self.stopped.cancelled() => break,
+                _ = ticks.tick() => self.tick_rollouts(&mut holder, &mut held).await,
+            }
+        }
+        // Without this the successor waits for the lease to expire.
+        let _ = holder.resign().await;
+    }
+
+    async fn tick_rollouts(
+        &self,
+        holder: &mut rollout_holder::RolloutHolder,
+        held: &mut HeldRollouts,
+    ) {
+        let snapshot = self.snapshot.load_full();
+        if snapshot.rollouts.is_empty() {
+            self.rollouts.states.store(Arc::default());
+            return;
+        }
+        if self.watches() {
+            // An error leaves the role as it was.
+            let _ = holder.tick().await;
+        }
+        match holder.role() {
+            Some(role) => {
+                held.step_all(self, holder, role.token, &snapshot).await;
+                self.adopt_states(held.states());
+            }
+            None => {
+                held.clear();
+                self.send_evidence(&snapshot).await;
+            }
+        }
+    }
+
+    async fn send_evidence(&self, snapshot: &config_snapshot::ConfigSnapshot) {
+        let Some(peer) = self.evidence_target().await else { return };
+        for rollout in snapshot.rollouts.values() {
+            let (block, stopped) = self.rollouts.take(&rollout.name);
+            let report = rollout_evidence::EvidenceReport {
+                rollout: rollout.name.clone(),
+                sender: self.process.clone(),
+                sequence: self.rollouts.next_sequence(),
+                block,
+                stopped,
+            };
+            let sent = self.peers.send_evidence(peer, node_config::SPREAD_LIMIT, &report).await;
+            match sent {
+                Ok(states) => self.adopt_states(states),
+                Err(error) if !error.may_have_run() => drop(self.rollouts.record(&report)),
+                // Evidence may have arrived; counting it twice could roll back a good version.
+                Err(_) => metrics::counter!("yuccareel_evidence_lost_total").increment(1),
+            }
+        }
+    }
+
+    /// First watcher of the data centre, or the holder when this node is that watcher.
+    async fn evidence_target(&self) -> Option<std::net::SocketAddr> {
+        let first = {
+            let table = self.members.lock();
+            let watchers = member_choice::watchers(&table, self.clock(), &self.options.data_centre);
+            watchers.first().map(|name| ids::InstanceName::from(*name))
+        };
+        match first {
+            Some(name) if name != self.options.name => self.peer_address(&name),
+            _ => {
+                let found = self.options.store.get(rollout_holder::HOLDER_KEY).await;
+                let entry = found.ok().flatten()?;
+                let process = String::from_utf8_lossy(&entry.value).into_owned();
+                let name = crate::bill_batch::instance_name(&process);
+                (*name != *self.options.name).then(|| self.peer_address(name)).flatten()
+            }
+        }
+    }
+
+    /// Takes the states that the holder wrote; ended rollouts forget their local stops.
+    pub fn adopt_states(&self, states: peer_message::RolloutStates) {
+        let former = self.rollouts.states.load();
+        if **former == states {
+            return;
+        }
+        self.rollouts.states.store(Arc::new(states));
+    }
+}
+
+/// Rollouts that this node decides on while it holds the role.
+#[derive(Default)]
+struct HeldRollouts {
+    token: ids::FencingToken,
+    stored: BTreeMap<ids::RolloutName, rollout_holder::StoredState>,
+    last_tick: Option<Instant>,
+}
+
+impl HeldRollouts {
+    fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    fn states(&self) -> peer_message::RolloutStates {
+        self.stored.iter().map(|(name, stored)| (name.clone(), stored.state.clone())).collect()
+    }
+
+    async fn step_all(
+        &mut self,
+        node: &node::Node,
+        holder: &mut rollout_holder::RolloutHolder,
+        token: ids::FencingToken,
+        snapshot: &config_snapshot::ConfigSnapshot,
+    ) {
+        if self.token != token {
+            self.clear();
+            self.token = token;
+        }
+        let now = Instant::now();
+        let elapsed = self.last_tick.map_or(Duration::ZERO, |last| now.duration_since(last));
+        self.last_tick = Some(now);
+        self.stored.retain(|name, _| snapshot.rollouts.contains_key(name));
+        for record in snapshot.rollouts.values() {
+            self.step(node, holder, record, elapsed).await;
+        }
+    }
+
+    async fn step(
+        &mut self,
+        node: &node::Node,
+        holder: &mut rollout_holder::RolloutHolder,
+        record: &records::rollout::RolloutRecord,
+        elapsed: Duration,
+    ) {
+        let fresh =
+            self.stored.get(&record.name).is_none_or(|stored| !stored.state.belongs_to(record));
+        if fresh {
+            let Ok(stored) = holder.read(record).await else { return };
+            self.stored.insert(record.name.clone(), stored);
+        }
+        let Some(stored) = self.stored.get_mut(&record.name) else { return };
+        let (block, stopped) = node.rollouts.take(&record.name);
+        let tick = rollout_stage::RolloutTick { elapsed, block, stopped_nodes: stopped.len() };
+        let to_active = node.snapshot.load().version_active(&record.model, &record.to);
+        let decided = holder.step(record, to_active, &tick, stored).await;
+        match decided {
+            Ok(rollout_stage::RolloutDecision::Hold) => {}
+            Ok(decision) => {
+                let label = match decision {
+                    rollout_stage::RolloutDecision::RollBack(_) => "roll_back",
+                    _ => "advance",
+                };
+                metrics::counter!("yuccareel_rollout_decisions_total", "decision" => label)
+                    .increment(1);
+            }
+            Err(
+                rollout_holder::HolderError::RoleLost | rollout_holder::HolderError::Conflict(_),
+            ) => drop(self.stored.remove(&record.name)),
+            Err(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/node_versions.rs
@@ -0,0 +1,233 @@
+//! Choice of model steps and versions: cascades, rollouts and sessions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::refusal_reason::RefusalReason;
+use crate::{
+    cascade_policy, chat_job, chat_request, config_snapshot, error_body, ids, node, peer_message,
+    records, rendezvous, session_table,
+};
+
+/// Home nodes of a session's pins.
+const PIN_HOMES: usize = 2;
+/// Time for one look at a pin's home.
+const PIN_LIMIT: Duration = Duration::from_millis(200);
+/// Generated tokens that a cost estimate assumes without `max_tokens`.
+const EXPECTED_TOKENS: u64 = 256;
+
+/// Steps that a job may use, from cheap to costly.
+pub type JobSteps = SmallVec<[cascade_policy::StepOption; 4]>;
+
+impl node::Node {
+    /// Steps of a job that its customer may use.
+    ///
+    /// # Errors
+    /// `model_unknown`, `model_not_allowed` or `version_withdrawn`.
+    pub fn job_steps(
+        &self,
+        job: &chat_job::ChatJob,
+    ) -> Result<JobSteps, error_body::RequestRefusal> {
+        let snapshot = self.snapshot.load();
+        let models = target_models(&snapshot, job)?;
+        let mut steps = JobSteps::new();
+        let mut worst = RefusalReason::ModelNotAllowed;
+        for name in models {
+            let Some(model) = snapshot.models.get(&name) else { continue };
+            if !job.customer.allows_model(&name) {
+                continue;
+            }
+            if usable_version(model, job).is_none() {
+                worst = RefusalReason::VersionWithdrawn;
+                continue;
+            }
+            let prompt_tokens = chat_request::estimated_tokens(&job.request.prompt);
+            steps.push(cascade_policy::StepOption {
+                model: name,
+                cost: model.cost(prompt_tokens, job.request.max_tokens.unwrap_or(EXPECTED_TOKENS)),
+                prior_quality: model.prior_quality,
+            });
+        }
+        if steps.is_empty() {
+            let message = format!("model: {} has no version for this customer", job.request.target);
+            return Err(error_body::RequestRefusal::not_run(worst, message));
+        }
+        Ok(steps)
+    }
+
+    /// Version of a model for a job: asked for, pinned, or chosen by a rollout.
+    ///
+    /// # Errors
+    /// `model_unknown`, `model_not_allowed` or `version_withdrawn`.
+    pub async fn choose_target(
+        &self,
+        job: &chat_job::ChatJob,
+        model: &ids::ModelName,
+    ) -> Result<chat_job::VersionTarget, error_body::RequestRefusal> {
+        let snapshot = self.snapshot.load_full();
+        let not_run = error_body::RequestRefusal::not_run;
+        let record = snapshot.models.get(model).ok_or_else(|| {
+            not_run(RefusalReason::ModelUnknown, format!("model: no record of {model}"))
+        })?;
+        if let Some(version) = &job.request.version {
+            check_version(record, job, version)?;
+            let (model, version) = (Arc::clone(record), version.clone());
+            return Ok(chat_job::VersionTarget { model, version, repinned: false });
+        }
+        let key = match &job.request.session {
+            Some(session) => session.to_string(),
+            None => format!("{:032x}", job.id),
+        };
+        let preferred = self.rollouts.preferred(&snapshot, model, &key);
+        let preferred = preferred.unwrap_or_else(|| record.default_version.clone());
+        let found = match &job.request.session {
+            Some(session) => self.session_version(job, session, model, &preferred, &snapshot).await,
+            None => self.sessionless_version(job, model, &preferred, &snapshot),
+        };
+        let found = found.ok_or_else(|| {
+            let message = "every allowed version is withdrawn".to_owned();
+            not_run(RefusalReason::VersionWithdrawn, message)
+        })?;
+        Ok(chat_job::VersionTarget {
+            model: Arc::clone(record),
+            version: found.pin.version,
+            repinned: found.repinned.is_some(),
+        })
+    }
+
+    fn sessionless_version(
+        &self,
+        job: &chat_job::ChatJob,
+        model: &ids::ModelName,
+        preferred: &ids::VersionName,
+        snapshot: &config_snapshot::ConfigSnapshot,
+    ) -> Option<session_table::SessionVersion> {
+        let key = session_table::SessionModel {
+            customer: job.customer.name.clone(),
+            session: format!("{:032x}", job.id).into(),
+            model: model.clone(),
+        };
+        let mut table = session_table::SessionTable::with_capacity(1);
+        table.resolve(&key, preferred, &job.customer, snapshot, self.clock())
+    }
+
+    /// Keeps the version of a session; asks its homes when this node has no pin.
+    async fn session_version(
+        &self,
+        job: &chat_job::ChatJob,
+        session: &ids::SessionKey,
+        model: &ids::ModelName,
+        preferred: &ids::VersionName,
+        snapshot: &config_snapshot::ConfigSnapshot,
+    ) -> Option<session_table::SessionVersion> {
+        let key = session_table::SessionModel {
+            customer: job.customer.name.clone(),
+            session: session.clone(),
+            model: model.clone(),
+        };
+        let known = self.sessions.lock().get(&key, self.clock()).is_some();
+        if !known {
+            self.look_up_pin(&key).await;
+        }
+        let mut found = {
+            let mut sessions = self.sessions.lock();
+            sessions.resolve(&key, preferred, &job.customer, snapshot, self.clock())?
+        };
+        if found.changed {
+            let held = self.keep_pin(&key, &found.pin).await;
+            // Another node may have pinned the session first; its pin goes before this one.
+            if held != found.pin {
+                let mut sessions = self.sessions.lock();
+                sessions.merge(key.clone(), held, self.clock());
+                found = sessions.resolve(&key, preferred, &job.customer, snapshot, self.clock())?;
+            }
+        }
+        Some(found)
+    }
+
+    async fn look_up_pin(&self, key: &session_table::SessionModel) {
+        for peer in self.pin_homes(key) {
+            let found = self.peers.look_up_session(peer, PIN_LIMIT, key).await;
+            if let Ok(Some(pin)) = found {
+                self.sessions.lock().merge(key.clone(), pin, self.clock());
+                return;
+            }
+        }
+    }
+
+    /// Stores a pin at its homes; returns the pin in effect there.
+    async fn keep_pin(
+        &self,
+        key: &session_table::SessionModel,
+        pin: &session_table::SessionPin,
+    ) -> session_table::SessionPin {
+        let mut held = pin.clone();
+        for peer in self.pin_homes(key) {
+            let request = peer_message::PinRequest { key: key.clone(), pin: held.clone() };
+            if let Ok(found) = self.peers.pin_session(peer, PIN_LIMIT, &request).await {
+                held = found;
+            }
+        }
+        held
+    }
+
+    /// Addresses of a pin's homes other than this node.
+    fn pin_homes(&self, key: &session_table::SessionModel) -> Vec<std::net::SocketAddr> {
+        let view = self.view.load();
+        let name = format!("{}/{}/{}", key.customer, key.session, key.model);
+        let homes = rendezvous::highest(&name, &view.members, PIN_HOMES);
+        let others = homes.into_iter().filter(|home| **home != self.options.name);
+        others.filter_map(|home| self.peer_address(home)).collect()
+    }
+}
+
+fn target_models(
+    snapshot: &config_snapshot::ConfigSnapshot,
+    job: &chat_job::ChatJob,
+) -> Result<SmallVec<[ids::ModelName; 4]>, error_body::RequestRefusal> {
+    let target = job.request.target.as_str();
+    if let Some((name, _)) = snapshot.models.get_key_value(target) {
+        return Ok(SmallVec::from_iter([name.clone()]));
+    }
+    let cascade = match &job.customer.cascade {
+        Some(cascade) if target == chat_request::AUTO_MODEL => Some(cascade.to_string()),
+        _ => Some(target.to_owned()).filter(|name| snapshot.cascades.contains_key(name.as_str())),
+    };
+    match cascade {
+        Some(cascade) => Ok(snapshot.cascade_models(&cascade)),
+        None => Err(error_body::RequestRefusal::not_run(
+            RefusalReason::ModelUnknown,
+            format!("model: no model or cascade named {target}"),
+        )),
+    }
+}
+
+/// Any version that the customer may use and that is not withdrawn.
+fn usable_version<'a>(
+    model: &'a records::model::ModelRecord,
+    job: &chat_job::ChatJob,
+) -> Option<&'a ids::VersionName> {
+    let usable = |version: &&records::model::ModelVersion| {
+        version.state == records::model::VersionState::Active
+            && job.customer.allows(&model.name, &version.name)
+            && job.request.version.as_ref().is_none_or(|asked| *asked == version.name)
+    };
+    model.versions.iter().find(usable).map(|version| &version.name)
+}
+
+fn check_version(
+    model: &records::model::ModelRecord,
+    job: &chat_job::ChatJob,
+    version: &str,
+) -> Result<(), error_body::RequestRefusal> {
+    let reason = match model.version_state(version) {
+        None => RefusalReason::ModelUnknown,
+        Some(_) if !job.customer.allows(&model.name, version) => RefusalReason::ModelNotAllowed,
+        Some(records::model::VersionState::Withdrawn) => RefusalReason::VersionWithdrawn,
+        Some(records::model::VersionState::Active) => return Ok(()),
+    };
+    let message = format!("model: version {version} of {}", model.name);
+    Err(error_body::RequestRefusal::not_run(reason, message))
+}
--- a/src/peer_client.rs
+++ b/src/peer_client.rs
@@ -17,7 +17,10 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::peer_capnp::peer;
-use crate::{peer_handshake, peer_message, peer_pool, peer_wire};
+use crate::{
+    bill_ledger, peer_handshake, peer_message, peer_pool, peer_wire, quota_message,
+    rollout_evidence, session_table,
+};
 
 /// Error of a call.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -171,24 +174,22 @@
         peer_message::FetchRequest => peer_message::FetchReply;
     /// Asks a home for shares of resources.
     request_quota, request_quota_request:
-        peer_message::QuotaRequest => peer_message::QuotaReply;
+        quota_message::ShareRequest => quota_message::ShareReply;
     /// Hands outstanding shares over to the next home.
     hand_over_quota, hand_over_quota_request: peer_message::QuotaHandover => ();
     /// Reports a replica that turned cold to its home.
     report_cold, report_cold_request: peer_message::ColdReport => ();
     /// Keeps a pin at a session home; returns the pin in effect there.
-    pin_session, pin_session_request: peer_message::SessionPin => peer_message::SessionPin;
+    pin_session, pin_session_request: peer_message::PinRequest => session_table::SessionPin;
     /// Looks up a pin at a session home.
     look_up_session, look_up_session_request:
-        peer_message::SessionName => Option<peer_message::SessionPin>;
+        session_table::SessionModel => Option<session_table::SessionPin>;
     /// Asks the owner of a shard for a claim.
     claim, claim_request: peer_message::ClaimRequest => peer_message::ClaimReply;
     /// Reports the outcome of a claimed call.
     finish_claim, finish_claim_request: peer_message::FinishRequest => ();
     /// Copies bills to a peer.
-    copy_bills, copy_bills_request: peer_message::BillCopies => ();
-    /// Tells a peer that bills were flushed.
-    bills_flushed, bills_flushed_request: peer_message::BillsFlushed => ();
+    copy_bills, copy_bills_request: bill_ledger::BillCopy => ();
     /// Sends evidence of versions.
-    send_evidence, send_evidence_request: peer_message::EvidenceReport => ();
+    send_evidence, send_evidence_request: rollout_evidence::EvidenceReport => peer_message::RolloutStates;
 }
--- a/src/peer_handler.rs
+++ b/src/peer_handler.rs
@@ -5,7 +5,7 @@
 
 use futures::future::BoxFuture;
 
-use crate::peer_message;
+use crate::{bill_ledger, peer_message, quota_message, rollout_evidence, session_table};
 
 /// Refusal of a call by the node that was called.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -36,8 +36,8 @@
     /// Grants shares of resources.
     fn request_quota(
         &self,
-        request: peer_message::QuotaRequest,
-    ) -> Answer<peer_message::QuotaReply>;
+        request: quota_message::ShareRequest,
+    ) -> Answer<quota_message::ShareReply>;
 
     /// Takes over outstanding shares of a home that shuts down.
     fn hand_over_quota(&self, handover: peer_message::QuotaHandover) -> Answer<()>;
@@ -46,13 +46,13 @@
     fn report_cold(&self, report: peer_message::ColdReport) -> Answer<()>;
 
     /// Keeps a pin; returns the pin in effect, which is an earlier one if there is one.
-    fn pin_session(&self, pin: peer_message::SessionPin) -> Answer<peer_message::SessionPin>;
+    fn pin_session(&self, request: peer_message::PinRequest) -> Answer<session_table::SessionPin>;
 
     /// Looks up a pin.
     fn look_up_session(
         &self,
-        name: peer_message::SessionName,
-    ) -> Answer<Option<peer_message::SessionPin>>;
+        key: session_table::SessionModel,
+    ) -> Answer<Option<session_table::SessionPin>>;
 
     /// Decides a claim.
     fn claim(&self, request: peer_message::ClaimRequest) -> Answer<peer_message::ClaimReply>;
@@ -61,11 +61,11 @@
     fn finish_claim(&self, request: peer_message::FinishRequest) -> Answer<()>;
 
     /// Keeps copies of bills.
-    fn copy_bills(&self, copies: peer_message::BillCopies) -> Answer<()>;
-
-    /// Drops copies of bills that were flushed.
-    fn bills_flushed(&self, flushed: peer_message::BillsFlushed) -> Answer<()>;
+    fn copy_bills(&self, copy: bill_ledger::BillCopy) -> Answer<()>;
 
     /// Adds evidence of versions.
-    fn send_evidence(&self, report: peer_message::EvidenceReport) -> Answer<()>;
+    fn send_evidence(
+        &self,
+        report: rollout_evidence::EvidenceReport,
+    ) -> Answer<peer_message::RolloutStates>;
 }
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -5,12 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    config_change, config_snapshot, ids, instance_list, member_age, member_digest, member_row,
-    records,
+    bill_line, claim_record, cold_start, config_change, config_snapshot, ids, instance_list,
+    member_age, member_digest, member_row, quota_message, records, rollout_stage, session_table,
 };
 
 /// What every heartbeat and its reply say about the sender.
@@ -130,91 +129,47 @@
     }
 }
 
-/// Request for shares of the resources of one home.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuotaRequest {
-    /// Node that asks.
-    pub holder: ids::InstanceName,
-    /// Shares wanted; a share of 0 gives the former one back.
-    pub wanted: Vec<QuotaShare>,
-}
-
-/// Share of a resource.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuotaShare {
-    /// Key of the resource.
-    pub resource: Arc<str>,
-    /// Amount in the unit of the resource.
-    pub amount: u64,
-}
-
-/// Shares granted, each in place of the holder's former share.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuotaReply {
-    /// Shares granted; a resource of which the replier is not the home is absent.
-    pub granted: Vec<QuotaShare>,
-    /// Time for which the shares hold from the sending of the request, in milliseconds.
-    pub lease_ms: u64,
-}
-
 /// Outstanding shares of a home that shuts down, for its successor.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct QuotaHandover {
     /// Former home.
     pub home: ids::InstanceName,
-    /// Shares by holder.
-    pub shares: Vec<OutstandingShare>,
+    /// Shares by resource.
+    pub resources: Vec<quota_message::ResourceHandover>,
 }
 
-/// Share that a holder may still use.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OutstandingShare {
-    /// Node that holds the share.
-    pub holder: ids::InstanceName,
-    /// Share.
-    pub share: QuotaShare,
-    /// Time left, in milliseconds.
-    pub left_ms: u64,
-}
-
-/// Report of a replica that turned cold.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Sign of a replica's warm-up state that its home has to hear at once.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ColdReport {
     /// Replica.
     pub replica: ids::ReplicaName,
-    /// Start of the engine process, when it is known.
-    pub boot: Option<ids::BootId>,
+    /// What was seen.
+    pub sign: cold_start::WarmupSign,
 }
 
-/// Session of a customer.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct SessionName {
-    /// Customer.
-    pub customer: ids::CustomerName,
-    /// Key chosen by the caller.
-    pub session: ids::SessionKey,
-}
-
-/// Version that a session keeps.
+/// Pin of a session that its home nodes keep.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SessionPin {
-    /// Session.
-    pub name: SessionName,
-    /// Model.
-    pub model: ids::ModelName,
-    /// Version.
-    pub version: ids::VersionName,
+pub struct PinRequest {
+    /// Session and model.
+    pub key: session_table::SessionModel,
+    /// Pin.
+    pub pin: session_table::SessionPin,
 }
 
 /// Request for the right to run a call that must not be repeated.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimRequest {
-    /// Node that would send the call.
+    /// Process that would send the call.
     pub claimant: ids::InstanceName,
-    /// Claim key: customer, route and idempotency key.
-    pub key: Arc<str>,
+    /// Claim key: digest of customer, route and idempotency key.
+    #[serde(with = "claim_record::base64_digest")]
+    pub key: claim_record::ClaimKey,
     /// Digest of the request.
-    pub digest: Arc<str>,
+    #[serde(with = "claim_record::base64_digest")]
+    pub fingerprint: claim_record::ClaimFingerprint,
+    /// Request at the claimant.
+    #[serde(with = "bill_line::request_hex")]
+    pub request: ids::RequestId,
 }
 
 /// Decision on a claim.
@@ -223,115 +178,32 @@
 pub enum ClaimReply {
     /// The claimant sends the call, once.
     Granted,
-    /// Another claimant runs the call.
+    /// Another request under the key has not ended.
     Running,
     /// The call ran; its answer is repeated.
-    Finished(ClaimAnswer),
-    /// The claimant died in the call; the outcome is unknown.
+    Finished(claim_record::ClaimAnswer),
+    /// The call may have run, and its answer will not come.
     Unknown,
     /// The key was used for another request.
-    DigestMismatch,
+    Conflict,
     /// The replier does not own the shard.
     NotOwner,
     /// The claim could not be recorded; nothing was sent.
-    Unavailable,
+    Unavailable(String),
 }
 
 /// Outcome of a claimed call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FinishRequest {
-    /// Node that sent the call.
-    pub claimant: ids::InstanceName,
     /// Claim key.
-    pub key: Arc<str>,
-    /// Answer to repeat to duplicates; `None` when the outcome is unknown.
-    pub answer: Option<ClaimAnswer>,
-}
-
-/// Answer of a claimed call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimAnswer {
-    /// HTTP status.
-    pub status: u16,
-    /// Content type.
-    pub content_type: Option<String>,
-    /// Body.
-    #[serde(with = "base64_body")]
-    pub body: Bytes,
+    #[serde(with = "claim_record::base64_digest")]
+    pub key: claim_record::ClaimKey,
+    /// Request that held the key.
+    #[serde(with = "bill_line::request_hex")]
+    pub request: ids::RequestId,
+    /// Answer to repeat to duplicates; none when nothing was sent.
+    pub answer: Option<claim_record::ClaimAnswer>,
 }
 
-/// Bills that a peer keeps until their instance has flushed them.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct BillCopies {
-    /// Instance that numbered the bills.
-    pub instance: ids::InstanceName,
-    /// Bills.
-    pub bills: Vec<BillCopy>,
-}
-
-/// Bill in the form of its owner.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct BillCopy {
-    /// Number of the bill.
-    pub number: u64,
-    /// Bill as JSON.
-    pub bill: serde_json::Value,
-}
-
-/// Notice that bills are in the key-value service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BillsFlushed {
-    /// Instance that numbered the bills.
-    pub instance: ids::InstanceName,
-    /// Highest number that was flushed with all numbers below it.
-    pub through: u64,
-}
-
-/// Evidence of one or more nodes since their last message.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct EvidenceReport {
-    /// Node that sends the report.
-    pub sender: ids::InstanceName,
-    /// Number of the report from this sender, by which repeats are dropped.
-    pub number: u64,
-    /// Counters by rollout and version.
-    pub versions: Vec<VersionEvidence>,
-}
-
-/// Counters of one version within a rollout.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct VersionEvidence {
-    /// Rollout.
-    pub rollout: ids::RolloutName,
-    /// Version.
-    pub version: ids::VersionName,
-    /// Requests.
-    pub requests: u64,
-    /// Requests that failed.
-    pub errors: u64,
-    /// Answers that were rated.
-    pub rated: u64,
-    /// Sum of the ratings, each 0 to 1.
-    pub rating_sum: f64,
-    /// Answers slower than the limit.
-    pub slow: u64,
-    /// Whether the sender stopped the version after consecutive errors.
-    pub stopped: bool,
-}
-
-/// Bodies as base64, since JSON holds no bytes.
-mod base64_body {
-    use base64::Engine as _;
-    use base64::engine::general_purpose::STANDARD;
-    use bytes::Bytes;
-    use serde::{Deserialize as _, Deserializer, Serializer};
-
-    pub fn serialize<S: Serializer>(body: &Bytes, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_str(&STANDARD.encode(body))
-    }
-
-    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Bytes, D::Error> {
-        let text = std::borrow::Cow::<'de, str>::deserialize(deserializer)?;
-        STANDARD.decode(text.as_bytes()).map(Bytes::from).map_err(serde::de::Error::custom)
-    }
-}
+/// State of all rollouts, as the holder last wrote it.
+pub type RolloutStates = std::collections::BTreeMap<ids::RolloutName, rollout_stage::RolloutState>;
--- a/src/peer_service.rs
+++ b/src/peer_service.rs
@@ -269,7 +269,6 @@
         claim(ClaimParams) -> ClaimResults;
         finish_claim(FinishClaimParams) -> FinishClaimResults;
         copy_bills(CopyBillsParams) -> CopyBillsResults;
-        bills_flushed(BillsFlushedParams) -> BillsFlushedResults;
         send_evidence(SendEvidenceParams) -> SendEvidenceResults;
     }
 }
--- a/src/quota_message.rs
+++ b/src/quota_message.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::ids;
@@ -13,7 +14,7 @@
 pub const SHARE_LEASE: Duration = Duration::from_secs(2);
 
 /// Limited quantity that is shared out.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ResourceKey {
     /// What is limited.
     pub kind: ResourceKind,
@@ -22,7 +23,7 @@
 }
 
 /// What is limited.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ResourceKind {
     /// Requests at a replica at once.
     ReplicaConcurrency,
@@ -85,7 +86,7 @@
 }
 
 /// Demand of a node for one resource.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareWant {
     /// The resource.
     pub resource: ResourceKey,
@@ -103,7 +104,7 @@
 }
 
 /// Renewal of all shares that a node holds or wants from one home.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareRequest {
     /// Node that asks.
     pub node: ids::InstanceName,
@@ -118,7 +119,7 @@
 }
 
 /// Reply to a share request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareReply {
     /// Number of the request.
     pub number: u64,
@@ -127,7 +128,7 @@
 }
 
 /// Outcome for one resource.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareGrant {
     /// The resource.
     pub resource: ResourceKey,
@@ -136,7 +137,7 @@
 }
 
 /// Share or the reason for none.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GrantOutcome {
     /// Leased share, valid from the time the request was sent.
     Leased {
@@ -154,7 +155,7 @@
 }
 
 /// Shares of one resource that a home hands to its successor.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ResourceHandover {
     /// The resource.
     pub resource: ResourceKey,
@@ -165,7 +166,7 @@
 }
 
 /// Warm-up state of a replica that changes its home.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HandedWarmup {
     /// Concurrency now.
     pub limit: u32,
@@ -176,7 +177,7 @@
 }
 
 /// Outstanding share of one node.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HandedShare {
     /// Node that holds the share.
     pub node: ids::InstanceName,
--- a/src/rollout_evidence.rs
+++ b/src/rollout_evidence.rs
@@ -128,6 +128,12 @@
         self.slow += u64::from(slow);
     }
 
+    /// Counts the rating of an answer whose request is counted already.
+    pub fn rate(&mut self, passed: bool) {
+        self.rated += 1;
+        self.rated_bad += u64::from(!passed);
+    }
+
     /// Adds counters.
     pub fn add(&mut self, other: &Self) {
         self.requests += other.requests;
--- a/src/service_flow.rs
+++ b/src/service_flow.rs
@@ -8,9 +8,12 @@
 
 use bytes::Bytes;
 use salvo::http::Method;
-use smallvec::SmallVec;
+use tokio::time::Instant;
 
-use crate::{error_body, ids, node, node_dispatch, records, refusal_reason, replica_table};
+use crate::{
+    admission_queue, claim_record, claim_table, error_body, ids, node, node_claims, node_dispatch,
+    records, refusal_reason, replica_table, retry_budget, retry_reason,
+};
 
 /// Attempts of a repeatable call, the first included.
 const MAX_ATTEMPTS: usize = 3;
@@ -57,23 +60,180 @@
     node: &Arc<node::Node>,
     call: ServiceCall,
 ) -> Result<ServiceReply, error_body::RequestRefusal> {
-    let repeatable = call.service.repeatable(call.method.as_str(), &call.path_and_query);
-    let mut tried: SmallVec<[ids::ReplicaName; 4]> = SmallVec::new();
+    let _admission = node.admit(&call.customer, 0).await?;
+    let path = call.path_and_query.split('?').next().unwrap_or_default();
+    if call.service.repeatable(call.method.as_str(), path) {
+        return send_repeatable(node, &call).await;
+    }
+    send_once(node, &call, path).await
+}
+
+async fn send_repeatable(
+    node: &Arc<node::Node>,
+    call: &ServiceCall,
+) -> Result<ServiceReply, error_body::RequestRefusal> {
+    let mut tried = node_dispatch::TriedReplicas::new();
+    let mut may_have_run = false;
+    loop {
+        let dispatched = dispatch(node, call, &tried).await;
+        let dispatch = dispatched.map_err(|refusal| after_attempts(refusal, may_have_run))?;
+        let replica = dispatch.row.name.clone();
+        if tried.is_empty() {
+            node.retries.lock().record_first(&call.customer.name, &replica);
+        }
+        let refusal = match send(node, call, &dispatch).await {
+            Ok(reply) => {
+                node.note_success(&dispatch);
+                return Ok(reply);
+            }
+            Err(refusal) => refusal,
+        };
+        let not_run = refusal.ran == error_body::RunState::No;
+        may_have_run |= !not_run;
+        let (reason, progress) = if not_run {
+            (retry_reason::RetryReason::ConnectFailed, retry_budget::SendProgress::NotSent)
+        } else {
+            (retry_reason::RetryReason::BackendError, retry_budget::SendProgress::MaybeSent)
+        };
+        let attempts = tried.len() as u32 + 1;
+        if !node.retry_allowed(&call.customer.name, &replica, reason, progress, attempts) {
+            return Err(after_attempts(refusal, may_have_run));
+        }
+        metrics::counter!("yuccareel_retries_total", "reason" => reason.code()).increment(1);
+        tried.push(replica);
+    }
+}
+
+/// A refusal after an attempt that may have run never says that nothing ran.
+fn after_attempts(
+    refusal: error_body::RequestRefusal,
+    may_have_run: bool,
+) -> error_body::RequestRefusal {
+    let ran = if may_have_run { error_body::RunState::Unknown } else { refusal.ran };
+    error_body::RequestRefusal { ran, ..refusal }
+}
+
+/// Claims the call, then sends it once; only a failed connect is tried elsewhere.
+async fn send_once(
+    node: &Arc<node::Node>,
+    call: &ServiceCall,
+    path: &str,
+) -> Result<ServiceReply, error_body::RequestRefusal> {
+    let made = format!("{:032x}", call.id);
+    let idempotency_key = call.idempotency_key.as_deref().unwrap_or(&made);
+    let route = format!("{} {path}", call.method);
+    let claim = claim_record::ClaimRequest {
+        key: claim_record::claim_key(&call.customer.name, &route, idempotency_key),
+        fingerprint: claim_record::digest(&[call.path_and_query.as_bytes(), &call.body]),
+        request: call.id,
+        serving: node.process.clone(),
+    };
+    let deadline = Instant::now() + Duration::from_millis(call.service.timeout_ms);
+    match node.claim_call(&claim, deadline).await? {
+        node_claims::CallClaim::Replay(answer) => return replay(call.id, &answer),
+        node_claims::CallClaim::Send => {}
+    }
+    let mut ending = CallEnding::new(node, &claim);
+    let sent = send_claimed(node, call, idempotency_key, &mut ending).await;
+    match &sent {
+        Ok(reply) => ending.finish(reply),
+        Err(refusal) if refusal.ran == error_body::RunState::No => ending.abandon(),
+        // The outcome is unknown; duplicates are told so.
+        Err(_) => {}
+    }
+    sent
+}
+
+async fn send_claimed(
+    node: &Arc<node::Node>,
+    call: &ServiceCall,
+    idempotency_key: &str,
+    ending: &mut CallEnding,
+) -> Result<ServiceReply, error_body::RequestRefusal> {
+    let call = ServiceCall { idempotency_key: Some(idempotency_key.to_owned()), ..call.clone() };
+    let mut tried = node_dispatch::TriedReplicas::new();
     loop {
-        let dispatch = node.dispatch_service(&call, &tried)?;
-        match send(node, &call, &dispatch).await {
-            Ok(reply) => return Ok(reply),
-            Err(refusal) => {
-                let harmless = repeatable || refusal.ran == error_body::RunState::No;
-                if !harmless || tried.len() + 1 >= MAX_ATTEMPTS {
-                    return Err(refusal);
-                }
-                tried.push(dispatch.row.name.clone());
+        let dispatch = dispatch(node, &call, &tried).await?;
+        ending.sending = true;
+        let refusal = match send(node, &call, &dispatch).await {
+            Ok(reply) => {
+                node.note_success(&dispatch);
+                return Ok(reply);
             }
+            Err(refusal) => refusal,
+        };
+        let not_run = refusal.ran == error_body::RunState::No;
+        if !not_run || tried.len() + 1 >= MAX_ATTEMPTS {
+            return Err(refusal);
         }
+        ending.sending = false;
+        let reason = retry_reason::RetryReason::ConnectFailed.code();
+        metrics::counter!("yuccareel_retries_total", "reason" => reason).increment(1);
+        tried.push(dispatch.row.name.clone());
     }
 }
 
+/// Ends a claim; a caller that goes away before the send frees the key.
+struct CallEnding {
+    node: Arc<node::Node>,
+    key: claim_record::ClaimKey,
+    request: ids::RequestId,
+    sending: bool,
+    ended: bool,
+}
+
+impl CallEnding {
+    fn new(node: &Arc<node::Node>, claim: &claim_record::ClaimRequest) -> Self {
+        let (key, request) = (claim.key, claim.request);
+        Self { node: Arc::clone(node), key, request, sending: false, ended: false }
+    }
+
+    fn finish(&mut self, reply: &ServiceReply) {
+        let body = reply.body.clone();
+        let answer = claim_record::ClaimAnswer::new(reply.status, reply.content_type.clone(), body);
+        self.end(Some(answer));
+    }
+
+    fn abandon(&mut self) {
+        self.end(None);
+    }
+
+    fn end(&mut self, answer: Option<claim_record::ClaimAnswer>) {
+        self.ended = true;
+        let (key, request) = (self.key, self.request);
+        self.node.end_call(claim_table::ClaimOrphan { key, request, answer });
+    }
+}
+
+impl Drop for CallEnding {
+    fn drop(&mut self) {
+        if !self.ended && !self.sending {
+            self.abandon();
+        }
+    }
+}
+
+fn replay(
+    id: ids::RequestId,
+    answer: &claim_record::ClaimAnswer,
+) -> Result<ServiceReply, error_body::RequestRefusal> {
+    let body = answer.replay()?.clone();
+    let content_type = answer.content_type.clone();
+    Ok(ServiceReply { id, status: answer.status, content_type, body })
+}
+
+async fn dispatch(
+    node: &Arc<node::Node>,
+    call: &ServiceCall,
+    tried: &node_dispatch::TriedReplicas,
+) -> Result<node_dispatch::DispatchGuard, error_body::RequestRefusal> {
+    let pool = replica_table::ReplicaPool::Service(call.service.name.clone());
+    let deadline = Instant::now() + Duration::from_millis(call.service.timeout_ms);
+    let lane = admission_queue::RequestLane::Interactive;
+    let prefixes = Default::default();
+    node.dispatch_in_pool(&call.customer.name, &pool, lane, deadline, tried, &prefixes).await
+}
+
 async fn send(
     node: &Arc<node::Node>,
     call: &ServiceCall,
@@ -109,28 +269,3 @@
         error_body::RequestRefusal::unknown(reason, "service gave no whole answer")
     }
 }
-
-impl node::Node {
-    /// Chooses a replica of a plain service.
-    ///
-    /// # Errors
-    /// `no_replica` or `data_centre_drained`.
-    pub fn dispatch_service(
-        &self,
-        call: &ServiceCall,
-        tried: &SmallVec<[ids::ReplicaName; 4]>,
-    ) -> Result<node_dispatch::DispatchGuard, error_body::RequestRefusal> {
-        let table = self.replicas.load();
-        let snapshot = self.snapshot.load();
-        let pool = replica_table::ReplicaPool::Service(call.service.name.clone());
-        let live = table.pool(&pool).iter().map(|&index| table.row(index));
-        let row = live
-            .filter(|row| !row.leaving && !snapshot.drained(&row.data_centre))
-            .filter(|row| !tried.contains(&row.name))
-            .min_by_key(|row| row.in_flight.load(std::sync::atomic::Ordering::Relaxed));
-        row.map(node_dispatch::DispatchGuard::new).ok_or_else(|| {
-            let reason = refusal_reason::RefusalReason::NoReplica;
-            error_body::RequestRefusal::not_run(reason, "no live replica of the service")
-        })
-    }
-}
