Add the administration API and the command-line tool

Operators had no way to write records.

References to records that are present but faulty are no longer reported as unknown, so that one fault does not bring forth others.

--- a/src/config_apply.rs
+++ b/src/config_apply.rs
@@ -97,12 +97,12 @@
     #[error("nothing was written: {0}")]
     Store(ConfigError),
     /// The answer was lost and could not be read back.
-    #[error("outcome of apply {apply_id} at sequence {sequence} is unknown: {cause}")]
+    #[error("outcome of apply {apply_id} is unknown: {cause}")]
     OutcomeUnknown {
         /// Identifier to look for in the history.
         apply_id: ids::ApplyId,
-        /// Sequence number that the change has if it was written.
-        sequence: ids::ConfigSequence,
+        /// Sequence number that the change has if it was written, where that is known.
+        sequence: Option<ids::ConfigSequence>,
         /// Last error.
         cause: ConfigError,
     },
--- a/src/config_store.rs
+++ b/src/config_store.rs
@@ -286,7 +286,7 @@
         let cause = lost.unwrap_or_else(|| KvError::NoAnswer("no attempt".to_owned()));
         Err(ApplyError::OutcomeUnknown {
             apply_id: change.apply_id.clone(),
-            sequence: change.sequence,
+            sequence: Some(change.sequence),
             cause: cause.into(),
         })
     }
@@ -340,7 +340,7 @@
 ) -> ApplyError {
     match pending {
         None => ApplyError::Store(cause),
-        Some(sequence) => {
+        sequence => {
             ApplyError::OutcomeUnknown { apply_id: apply.apply_id.clone(), sequence, cause }
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,15 @@
 //! source and return actions. Modules at the process edge own sockets and call
 //! them. `docs/design.md` maps every module to its job.
 
+pub mod admin_context;
+pub mod admin_error;
+pub mod admin_handler;
+pub mod admin_types;
+pub mod cli;
+pub mod cli_client;
+pub mod cli_exit;
+pub mod cli_options;
+pub mod cli_output;
 pub mod config_apply;
 pub mod config_change;
 pub mod config_keys;
@@ -16,6 +25,7 @@
 pub mod instance_list;
 pub mod kv_client;
 pub mod kv_store;
+pub mod openapi;
 pub mod record_check;
 pub mod record_fields;
 pub mod record_finding;
--- a/src/record_check.rs
+++ b/src/record_check.rs
@@ -9,7 +9,7 @@
 use crate::config_snapshot::ConfigSnapshot;
 use crate::field_reader::RecordPlace;
 use crate::record_finding::{self, RecordFault, RecordFinding};
-use crate::record_reader::LocatedRecord;
+use crate::record_reader::{LocatedRecord, RecordBatch};
 use crate::records::cascade::CascadeStep;
 use crate::records::model::VersionState;
 use crate::records::{RoutingRecord, customer, model, rollout, service};
@@ -20,9 +20,20 @@
 const RESERVED_PREFIXES: [&str; 6] =
     ["/v1", "/admin", "/healthz", "/readyz", "/metrics", "/openapi.json"];
 
-/// Checks a set of files that is a whole configuration.
-pub fn check_batch(records: &[LocatedRecord]) -> Vec<RecordFinding> {
-    check_change(&ConfigSnapshot::default(), records, &[]).1
+/// All findings on files that hold a whole configuration.
+pub fn check_batch(batch: &RecordBatch) -> Vec<RecordFinding> {
+    check_onto(&ConfigSnapshot::default(), batch, &[])
+}
+
+/// All findings on files and removals on top of a configuration.
+pub fn check_onto(
+    base: &ConfigSnapshot,
+    batch: &RecordBatch,
+    removals: &[(String, Arc<str>)],
+) -> Vec<RecordFinding> {
+    let mut findings = batch.findings.clone();
+    findings.extend(check(base, &batch.records, removals, &batch.unread).1);
+    findings
 }
 
 /// Configuration after a change, and what is wrong with it.
@@ -32,6 +43,15 @@
     base: &ConfigSnapshot,
     puts: &[LocatedRecord],
     removals: &[(String, Arc<str>)],
+) -> (ConfigSnapshot, Vec<RecordFinding>) {
+    check(base, puts, removals, &BTreeSet::new())
+}
+
+fn check(
+    base: &ConfigSnapshot,
+    puts: &[LocatedRecord],
+    removals: &[(String, Arc<str>)],
+    unread: &BTreeSet<(String, String)>,
 ) -> (ConfigSnapshot, Vec<RecordFinding>) {
     let mut findings = Vec::new();
     let mut files: BTreeMap<(&str, &str), &Arc<str>> = BTreeMap::new();
@@ -65,7 +85,7 @@
         }
         snapshot.put(located.record.clone());
     }
-    let mut run = CheckRun { snapshot: &snapshot, files, findings };
+    let mut run = CheckRun { snapshot: &snapshot, files, unread, findings };
     run.check_models();
     run.check_cascades();
     run.check_rollouts();
@@ -103,6 +123,7 @@
 struct CheckRun<'a> {
     snapshot: &'a ConfigSnapshot,
     files: BTreeMap<(&'a str, &'a str), &'a Arc<str>>,
+    unread: &'a BTreeSet<(String, String)>,
     findings: Vec<RecordFinding>,
 }
 
@@ -120,6 +141,11 @@
         self.findings.push(place(file, (kind, name)).finding(field, fault, message));
     }
 
+    /// Whether a record is in the files but faulty, so that references to it cannot be judged.
+    fn unread(&self, kind: &str, name: &str) -> bool {
+        self.unread.contains(&(kind.to_owned(), name.to_owned()))
+    }
+
     fn check_models(&mut self) {
         for record in self.snapshot.models.values() {
             self.check_model(record);
@@ -170,7 +196,7 @@
                         ("cascade", name, self.snapshot.cascades.contains_key(name))
                     }
                 };
-                if !known {
+                if !known && !self.unread(kind, name) {
                     let message = format!("no {kind} {name:?}");
                     let field = format!("steps[{index}].{kind}");
                     let fault = RecordFault::UnknownReference;
@@ -222,6 +248,7 @@
 
     fn check_rollout(&mut self, record: &rollout::RolloutRecord) {
         let model = self.snapshot.models.get(&record.model);
+        let unread = self.unread("model", &record.model);
         let mut report = |field: &str, fault, message: String| {
             self.report("rollout", &record.name, field, fault, message);
         };
@@ -237,8 +264,10 @@
             report("to", RecordFault::Contradiction, message);
         }
         let Some(model) = model else {
-            let message = format!("no model {:?}", record.model);
-            report("model", RecordFault::UnknownReference, message);
+            if !unread {
+                let message = format!("no model {:?}", record.model);
+                report("model", RecordFault::UnknownReference, message);
+            }
             return;
         };
         // A withdrawn version is accepted here: withdrawing one in the middle of its rollout
@@ -300,6 +329,9 @@
                 self.report("customer", &record.name, field, RecordFault::Duplicate, message);
             }
             let Some(model) = self.snapshot.models.get(&allowed.model) else {
+                if self.unread("model", &allowed.model) {
+                    continue;
+                }
                 let message = format!("no model {:?}", allowed.model);
                 let (field, fault) = (format!("{field}.model"), RecordFault::UnknownReference);
                 self.report("customer", &record.name, field, fault, message);
@@ -318,6 +350,9 @@
 
     fn check_customer_cascade(&mut self, record: &customer::CustomerRecord) {
         let Some(cascade) = &record.cascade else { return };
+        if self.unread("cascade", cascade) {
+            return;
+        }
         if !self.snapshot.cascades.contains_key(cascade) {
             let (fault, message) =
                 (RecordFault::UnknownReference, format!("no cascade {cascade:?}"));
@@ -325,7 +360,8 @@
             return;
         }
         let models = self.snapshot.cascade_models(cascade);
-        if !models.iter().any(|model| record.allows_model(model)) {
+        let complete = self.unread.is_empty();
+        if complete && !models.iter().any(|model| record.allows_model(model)) {
             let message = format!("no model of cascade {cascade:?} is allowed");
             let fault = RecordFault::Contradiction;
             self.report("customer", &record.name, "cascade", fault, message);
--- a/src/record_fields.rs
+++ b/src/record_fields.rs
@@ -31,6 +31,9 @@
 const IDEMPOTENT_METHODS: [&str; 2] = ["PUT", "DELETE"];
 const METHODS: [&str; 8] = ["*", "GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"];
 
+/// Record kinds as written in records and keys.
+pub const KINDS: [&str; 6] = ["customer", "model", "cascade", "rollout", "data_centre", "service"];
+
 /// Record of the kind that the table names.
 pub fn read(reader: &mut FieldReader<'_>) -> Option<RoutingRecord> {
     let range = u64::from(records::OLDEST_SCHEMA)..=u64::from(records::NEWEST_SCHEMA);
--- a/src/record_reader.rs
+++ b/src/record_reader.rs
@@ -9,6 +9,7 @@
 //! - A service lists `non_repeatable_methods`; its other idempotent methods may be
 //!   repeated. Schema 2 has statements per route.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde_json::{Map, Value, json};
@@ -33,6 +34,8 @@
     pub records: Vec<LocatedRecord>,
     /// Everything that is wrong.
     pub findings: Vec<RecordFinding>,
+    /// Kind and name of records with a fault of their own; references to them are not judged.
+    pub unread: BTreeSet<(String, String)>,
     /// Set when a record has a schema version that is newer than supported.
     pub newer_schema: Option<u64>,
 }
@@ -40,10 +43,9 @@
 impl RecordBatch {
     /// Reads a file: JSON when its name ends in `.json`, TOML otherwise.
     pub fn read_file(&mut self, file: &str, bytes: &[u8]) {
-        let file: Arc<str> = Arc::from(file);
-        match parse(&file, bytes) {
-            Ok(document) => self.read_document(&file, &document),
-            Err(message) => self.findings.push(whole_file(&file, RecordFault::Syntax, message)),
+        match parse_file(file, bytes) {
+            Ok(document) => self.read_document(&Arc::from(file), &document),
+            Err(finding) => self.findings.push(finding),
         }
     }
 
@@ -92,6 +94,7 @@
                 records::NEWEST_SCHEMA
             );
             self.findings.push(place.finding("schema", RecordFault::Schema, message));
+            self.note_unread(value);
             return;
         }
         let mut reader = FieldReader::new(fields, &place);
@@ -99,9 +102,17 @@
         let findings = reader.finish();
         if let (Some(record), true) = (record, findings.is_empty()) {
             self.records.push(LocatedRecord { file: file.clone(), record });
+        } else {
+            self.note_unread(value);
         }
         self.findings.extend(findings);
     }
+
+    fn note_unread(&mut self, value: &Value) {
+        if let (Some(kind), Some(name)) = (value["kind"].as_str(), value["name"].as_str()) {
+            self.unread.insert((kind.to_owned(), name.to_owned()));
+        }
+    }
 }
 
 /// Reads a single record, such as a stored one.
@@ -127,8 +138,23 @@
 /// # Errors
 /// When a number is larger than TOML can hold.
 pub fn write_toml(records: &[records::RoutingRecord]) -> Result<String, toml::ser::Error> {
-    let list: Vec<Value> = records.iter().map(record_value).collect();
-    toml::to_string_pretty(&json!({ "record": list }))
+    values_toml(&records.iter().map(record_value).collect::<Vec<_>>())
+}
+
+/// TOML text of records in JSON.
+///
+/// # Errors
+/// When a value cannot be written as TOML.
+pub fn values_toml(values: &[Value]) -> Result<String, toml::ser::Error> {
+    toml::to_string_pretty(&json!({ "record": values }))
+}
+
+/// Parses a file: JSON when its name ends in `.json`, TOML otherwise.
+///
+/// # Errors
+/// A finding with the place of the first syntax fault.
+pub fn parse_file(file: &str, bytes: &[u8]) -> Result<Value, RecordFinding> {
+    parse(file, bytes).map_err(|message| whole_file(&Arc::from(file), RecordFault::Syntax, message))
 }
 
 fn parse(file: &str, bytes: &[u8]) -> Result<Value, String> {
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,211 @@
+//! The command-line tool, driven as a process.
+
+use std::path::PathBuf;
+use std::process::Stdio;
+
+use tokio::io::AsyncWriteExt as _;
+use yuccareel::admin_types::AuditReport;
+use yuccareel::cli_exit::CliExit;
+use yuccareel::error_body::RequestRefusal;
+use yuccareel::refusal_reason::RefusalReason;
+use yuccareel::standins::kv::KvFaults;
+
+#[path = "support/admin.rs"]
+mod admin;
+
+const GOOD: &str = include_str!("support/good.toml");
+
+struct Finished {
+    code: i32,
+    output: String,
+    errors: String,
+}
+
+async fn run(server: &str, arguments: &[&str], input: &str) -> Finished {
+    let mut child = tokio::process::Command::new(env!("CARGO_BIN_EXE_yuccareel"))
+        .args(arguments)
+        .env_clear()
+        .env("YUCCAREEL_SERVER", server)
+        .env("YUCCAREEL_TOKEN", admin::TOKEN)
+        .env("YUCCAREEL_AUTHOR", "ann")
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all(input.as_bytes()).await.unwrap();
+    let done = child.wait_with_output().await.unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    Finished {
+        code: done.status.code().unwrap(),
+        output: text(done.stdout),
+        errors: text(done.stderr),
+    }
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn data_centre(name: &str, state: &str) -> PathBuf {
+    let text = format!(
+        "[[record]]\nschema = 2\nkind = \"data_centre\"\nname = \"{name}\"\nregion = \"r\"\nstate = \"{state}\"\n"
+    );
+    file(&format!("{name}-{state}.toml"), &text)
+}
+
+/// Guards against a check that stops at the first fault or hides one behind another.
+#[tokio::test]
+async fn check_reports_all_five_faults() {
+    let text = GOOD
+        .replacen("prior_quality = 0.7", "prior_quality = 7", 1)
+        .replacen(
+            "default_version = \"v1\"\ninput_cost_per_1k = 1000",
+            "default_version = \"v4\"\ninput_cost_per_1k = 1000",
+            1,
+        )
+        .replacen("[0.1, 0.5, 1.0]", "[0.5, 0.1]", 1)
+        .replacen("timeout_ms = 2000", "timeout = 2000\ntimeout_ms = 2000", 1)
+        .replacen("cascade = \"ladder\"", "cascade = \"chain\"", 1);
+    let path = file("five.toml", &text);
+    let done = run("", &["check", path.to_str().unwrap()], "").await;
+    assert_eq!(done.code, i32::from(CliExit::Findings.number()));
+    insta::assert_snapshot!(done.output.replace(path.to_str().unwrap(), "five.toml"));
+    assert_eq!(done.output.lines().count(), 5 + 1, "five findings and their number");
+}
+
+/// Guards against exit codes or texts that differ from the documented ones, without a server.
+#[tokio::test]
+async fn offline_commands() {
+    struct Case {
+        arguments: &'static [&'static str],
+        input: &'static str,
+        exit: CliExit,
+        shows: &'static str,
+    }
+    let good = file("good.toml", GOOD);
+    let case = |arguments, exit, shows| Case { arguments, input: "", exit, shows };
+    let cases = [
+        case(&["--help"], CliExit::Done, "3  another operator changed the same records first"),
+        case(&[], CliExit::Usage, "no command"),
+        case(&["get", "wheel", "../x"], CliExit::Usage, "\"../x\" is no record name"),
+        case(&["--colour", "check", "x"], CliExit::Usage, "colour"),
+        case(&["status", "now"], CliExit::Usage, "status: unexpected \"now\""),
+        case(&["apply", "--wait=soon", "x"], CliExit::Usage, "--wait: expected a whole number"),
+        case(&["check", "/nonexistent.toml"], CliExit::Usage, "/nonexistent.toml: "),
+        case(&["hash-token"], CliExit::Usage, "expected one token"),
+        Case {
+            arguments: &["hash-token"],
+            input: "abc\n",
+            exit: CliExit::Done,
+            shows: "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad\n",
+        },
+    ];
+    for case in cases {
+        let done = run("http://127.0.0.1:1", case.arguments, case.input).await;
+        let shown = done.output + &done.errors;
+        assert_eq!(done.code, i32::from(case.exit.number()), "{:?}: {shown}", case.arguments);
+        assert!(shown.contains(case.shows), "{:?}: {shown}", case.arguments);
+    }
+    let done = run("", &["check", good.to_str().unwrap()], "").await;
+    assert_eq!((done.code, done.output.as_str()), (0, "no findings\n"));
+}
+
+/// Guards against a command that breaks on the way through the API.
+#[tokio::test]
+async fn commands_against_a_server() {
+    let api = admin::serve().await;
+    let server = format!("http://{}", api.address);
+    let good = file("good-apply.toml", GOOD);
+    let drained = data_centre("evesham", "drained");
+    let (good, drained) = (good.to_str().unwrap(), drained.to_str().unwrap());
+    let steps: &[(&[&str], CliExit, &str)] = &[
+        (&["apply", good, "--wait"], CliExit::Done, "in effect on every instance"),
+        (&["apply", good], CliExit::Done, "unchanged at sequence 1"),
+        (&["apply", drained, "--expect-sequence", "1"], CliExit::Done, "accepted at sequence 2"),
+        (&["apply", good, "--expect-sequence", "1"], CliExit::Conflict, "data_centre/evesham"),
+        (&["apply", good, "--expect-sequence", "9"], CliExit::Conflict, "sequence 9"),
+        (&["get", "data_centre", "evesham"], CliExit::Done, "state = \"drained\""),
+        (&["get", "data_centre", "tenbury"], CliExit::NotFound, "no record data_centre/tenbury"),
+        (&["list", "model"], CliExit::Done, "model/large\nmodel/small\n"),
+        (&["remove", "model", "large"], CliExit::Findings, "(in effect): cascade/ladder"),
+        (&["remove", "data_centre", "evesham"], CliExit::Done, "accepted at sequence 3"),
+        (&["check", "--against-server", drained], CliExit::Done, "no findings"),
+        (&["history", "--limit", "1"], CliExit::Done, "\t-data_centre/evesham\n"),
+        (&["history", "--json"], CliExit::Done, "\"apply_id\""),
+        (&["status"], CliExit::Done, "node-b\tevesham\tsequence 3\t5 ms ago\n"),
+        (&["audit"], CliExit::Done, "0 faults"),
+        (&["status", "--token", "wrong"], CliExit::Refused, "token_unknown"),
+    ];
+    for (arguments, exit, shows) in steps {
+        let done = run(&server, arguments, "").await;
+        let shown = done.output + &done.errors;
+        assert_eq!(done.code, i32::from(exit.number()), "{arguments:?}: {shown}");
+        assert!(shown.contains(shows), "{arguments:?}: {shown}");
+    }
+    api.node.audit.lock().faults.push("gap after bill 7 of node-a".to_owned());
+    let done = run(&server, &["audit"], "").await;
+    assert_eq!((done.code, done.output.lines().next()), (1, Some("gap after bill 7 of node-a")));
+    assert_ne!(*api.node.audit.lock(), AuditReport::default());
+}
+
+/// Guards against an exit code that says more or less than is known about the change.
+#[tokio::test]
+async fn faults_during_apply() {
+    struct Case {
+        name: &'static str,
+        faults: KvFaults,
+        refusal: Option<RequestRefusal>,
+        other_follows: bool,
+        exit: CliExit,
+        shows: &'static str,
+    }
+    let isolated =
+        RequestRefusal::not_run(RefusalReason::Isolated, "no confirmation for 9 s".to_owned());
+    let case = |name, exit, shows| Case {
+        name,
+        faults: KvFaults::default(),
+        refusal: None,
+        other_follows: true,
+        exit,
+        shows,
+    };
+    let cases = [
+        Case {
+            faults: KvFaults { outage: true, ..KvFaults::default() },
+            ..case("outage", CliExit::Refused, "store_failed: nothing was written")
+        },
+        Case {
+            faults: KvFaults { lose_answers: 1, ..KvFaults::default() },
+            ..case("lost answer", CliExit::Done, "accepted at sequence 1")
+        },
+        Case {
+            faults: KvFaults { lose_writes: 9, ..KvFaults::default() },
+            ..case("lost writes", CliExit::Unknown, "look for apply id")
+        },
+        Case {
+            refusal: Some(isolated),
+            ..case("isolated", CliExit::Refused, "isolated: no confirmation for 9 s")
+        },
+        Case {
+            other_follows: false,
+            ..case("one behind", CliExit::NotInEffect, "node-b has sequence 0")
+        },
+    ];
+    let path = data_centre("pershore", "active");
+    for case in cases {
+        let api = admin::serve().await;
+        *api.kv.faults.lock() = case.faults;
+        *api.node.refusal.lock() = case.refusal;
+        *api.node.other_follows.lock() = case.other_follows;
+        let server = format!("http://{}", api.address);
+        let done = run(&server, &["apply", "--wait=1", path.to_str().unwrap()], "").await;
+        let shown = done.output + &done.errors;
+        assert_eq!(done.code, i32::from(case.exit.number()), "{}: {shown}", case.name);
+        assert!(shown.contains(case.shows), "{}: {shown}", case.name);
+    }
+    let done = run("http://127.0.0.1:1", &["apply", path.to_str().unwrap()], "").await;
+    assert_eq!(done.code, i32::from(CliExit::Unreachable.number()), "{}", done.errors);
+}
