--- /dev/null
+++ b/tests/event_catalogue.rs
@@ -0,0 +1,69 @@
+//! The event catalogue, its page and its log lines.
+
+use std::io;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use slog::{Drain as _, Level};
+use yuccareel::event_catalogue::{self, LogEvent};
+
+/// Guards against a page that lacks an event, lists a removed one or tells another level.
+#[test]
+fn page_lists_exactly_the_events() {
+    let page = include_str!("../docs/EVENTS.md");
+    let listed: Vec<&str> = page.lines().filter(|line| line.starts_with("| ")).skip(1).collect();
+    let expected: Vec<String> = LogEvent::ALL
+        .iter()
+        .map(|event| {
+            let level = match event.level() {
+                Level::Critical => "critical",
+                Level::Error => "error",
+                Level::Warning => "warning",
+                Level::Info => "info",
+                Level::Debug | Level::Trace => "debug",
+            };
+            format!("| {} | {level} | `{}` | {} |", event.number(), event.code(), event.message())
+        })
+        .collect();
+    assert_eq!(listed, expected);
+}
+
+/// Guards against a number or code that two events share.
+#[test]
+fn numbers_rise_and_codes_differ() {
+    let numbers: Vec<u32> = LogEvent::ALL.iter().map(|event| event.number()).collect();
+    assert!(numbers.is_sorted_by(|left, right| left < right), "{numbers:?}");
+    let mut codes: Vec<&str> = LogEvent::ALL.iter().map(|event| event.code()).collect();
+    codes.sort_unstable();
+    codes.dedup();
+    assert_eq!(codes.len(), LogEvent::ALL.len());
+}
+
+#[derive(Clone, Default)]
+struct SharedText(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for SharedText {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a log line without the number, code, message or fields of its event.
+#[test]
+fn line_carries_number_code_and_fields() {
+    let text = SharedText::default();
+    let drain = std::sync::Mutex::new(slog_json::Json::default(text.clone())).fuse();
+    let logger = slog::Logger::root(drain, slog::o!());
+    event_catalogue::emit(&logger, LogEvent::MemberDead, slog::o!("member" => "node-b"));
+    let line: serde_json::Value = serde_json::from_slice(&text.0.lock()).unwrap();
+    assert_eq!(line["event"], 303);
+    assert_eq!(line["code"], "member_dead");
+    assert_eq!(line["level"], "WARN");
+    assert_eq!(line["msg"], "member is dead");
+    assert_eq!(line["member"], "node-b");
+}
