--- a/src/chat_request.rs
+++ b/src/chat_request.rs
@@ -12,8 +12,6 @@
 
 /// Model name that stands for the customer's cascade.
 pub const AUTO_MODEL: &str = "auto";
-/// Deadline of a request that names none.
-pub const DEFAULT_DEADLINE: Duration = Duration::from_secs(120);
 /// Longest deadline that a caller may ask for; it bounds how long a shutdown takes.
 pub const LONGEST_DEADLINE: Duration = Duration::from_secs(600);
 /// Prompt length in bytes above which a request without a kind counts as long.
@@ -57,11 +55,15 @@
 }
 
 impl ChatRequest {
-    /// Reads a body and its headers.
+    /// Reads a body and its headers; `default_deadline` is the time of a request that names none.
     ///
     /// # Errors
     /// `body_invalid` with the field at fault; nothing ran.
-    pub fn parse(body: &Bytes, headers: ChatHeaders) -> Result<Self, error_body::RequestRefusal> {
+    pub fn parse(
+        body: &Bytes,
+        headers: ChatHeaders,
+        default_deadline: Duration,
+    ) -> Result<Self, error_body::RequestRefusal> {
         let fields: Map<String, Value> =
             serde_json::from_slice(body).map_err(|error| invalid("body", &error.to_string()))?;
         let model = string_field(&fields, "model")?
@@ -81,7 +83,7 @@
         let prompt = prompt_text(&fields)?;
         let kind = headers.kind.unwrap_or_else(|| length_kind(&prompt).to_owned());
         let session = headers.session.or(string_field(&fields, "user")?);
-        let deadline = headers.deadline_ms.map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        let deadline = headers.deadline_ms.map_or(default_deadline, Duration::from_millis);
         Ok(Self {
             target,
             version,
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream;
@@ -13,9 +12,6 @@
 
 use crate::{chat_flow, chat_request, error_body, ids, node, refusal_reason, service_flow};
 
-/// Time in which a caller must have sent its body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Routes for callers.
 pub fn router(node: &Arc<node::Node>) -> Router {
     let route = |call| CallerHandler { node: Arc::clone(node), call };
@@ -28,6 +24,23 @@
         .push(Router::with_path("{**rest}").goal(route(CallerRoute::Service)))
 }
 
+/// Route of the metrics in the text format of Prometheus.
+pub fn metrics_router(handle: Option<metrics_exporter_prometheus::PrometheusHandle>) -> Router {
+    Router::with_path("metrics").get(MetricsHandler { handle })
+}
+
+struct MetricsHandler {
+    handle: Option<metrics_exporter_prometheus::PrometheusHandle>,
+}
+
+#[handler]
+impl MetricsHandler {
+    async fn handle(&self, response: &mut Response) {
+        let text = self.handle.as_ref().map(|handle| handle.render());
+        response.render(text.unwrap_or_default());
+    }
+}
+
 #[derive(Clone, Copy)]
 enum CallerRoute {
     Chat,
@@ -102,7 +115,8 @@
             priority: request.header("x-yuccareel-priority"),
             deadline_ms: request.header("x-yuccareel-deadline-ms"),
         };
-        let parsed = chat_request::ChatRequest::parse(&body, headers)?;
+        let time = self.node.options.request_timeout;
+        let parsed = chat_request::ChatRequest::parse(&body, headers, time)?;
         let job = chat_flow::new_job(customer, parsed);
         match chat_flow::answer(&self.node, job).await? {
             chat_flow::ChatAnswer::Whole(answer) => {
@@ -185,11 +199,12 @@
     async fn body(&self, request: &mut Request) -> Result<Bytes, error_body::RequestRefusal> {
         let limit = self.node.options.body_limit;
         let not_run = error_body::RequestRefusal::not_run;
-        let read = tokio::time::timeout(BODY_TIMEOUT, request.payload_with_max_size(limit)).await;
+        let time = self.node.options.body_timeout;
+        let read = tokio::time::timeout(time, request.payload_with_max_size(limit)).await;
         match read {
             Err(_) => {
                 let reason = refusal_reason::RefusalReason::CallerSlow;
-                Err(not_run(reason, format!("body: not sent within {BODY_TIMEOUT:?}")))
+                Err(not_run(reason, format!("body: not sent within {time:?}")))
             }
             Ok(Ok(body)) => Ok(body.clone()),
             Ok(Err(ParseError::PayloadTooLarge)) => {
--- a/src/member_table.rs
+++ b/src/member_table.rs
@@ -167,6 +167,8 @@
 
     /// Removes nodes that are not listed and were not heard of for 60 s.
     pub fn forget_dead(&mut self, now: Duration) {
+        // A node without peers exchanges no heartbeats, but it is alive all the same.
+        self.touch_own(now);
         let (own, digests) = (&self.own, &mut self.digests);
         self.entries.retain(|entry| {
             let expired = now.saturating_sub(entry.heard_at) >= FORGET_AFTER;
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,13 +15,14 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::event_catalogue::LogEvent;
 use crate::{
     bill_batch, bill_copies, bill_ledger, claim_store, config_log, config_snapshot, config_store,
-    customer_limits, endpoint_answer, engine_client, error_body, freshness, ids, instance_list,
-    kv_store, member_row, member_table, node_bills, node_handler, node_quota, node_replicas,
-    node_rollout, node_view, peer_client, peer_handshake, peer_service, pool_queue, prefix_index,
-    quality_table, quota_home, quota_lease, rating_client, records, refusal_reason, replica_subset,
-    replica_table, retry_budget, session_table, token_index,
+    customer_limits, endpoint_answer, engine_client, error_body, event_catalogue, freshness, ids,
+    instance_list, kv_store, member_row, member_table, node_bills, node_handler, node_quota,
+    node_replicas, node_rollout, node_view, peer_client, peer_handshake, peer_service, pool_queue,
+    prefix_index, quality_table, quota_home, quota_lease, rating_client, records, refusal_reason,
+    replica_subset, replica_table, retry_budget, session_table, token_index,
 };
 
 /// Time between two looks at whether a shutdown is complete.
@@ -43,8 +44,14 @@
     pub peer_advertise: SocketAddr,
     /// Largest body in bytes.
     pub body_limit: usize,
+    /// Time in which a caller must have sent its body.
+    pub body_timeout: Duration,
+    /// Time of a request that names none.
+    pub request_timeout: Duration,
     /// Time for which a stopping instance still accepts requests.
     pub leave_time: Duration,
+    /// Time for requests in flight after that.
+    pub shutdown_timeout: Duration,
     /// Secret that all nodes share.
     pub peer_secret: peer_handshake::SharedSecret,
     /// Key-value service.
@@ -53,6 +60,8 @@
     pub list: instance_list::ListClient,
     /// Answer-rating service, where there is one.
     pub rating: Option<Arc<dyn rating_client::RatingService>>,
+    /// Log.
+    pub logger: slog::Logger,
 }
 
 /// Error of the start of an instance.
@@ -219,6 +228,11 @@
         }))
     }
 
+    /// Logs a numbered event.
+    pub fn emit(&self, event: event_catalogue::LogEvent, fields: impl slog::KV) {
+        event_catalogue::emit(&self.options.logger, event, fields);
+    }
+
     /// Time since the start of the instance.
     pub fn clock(&self) -> Duration {
         self.started_at.elapsed()
@@ -289,13 +303,26 @@
 }
 
 impl RunningNode {
+    /// Address for calls of peers.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.service.address()
+    }
+
     /// Leaves the endpoint answers, finishes all requests, hands over, and ends.
     pub async fn shut_down(mut self) {
         let node = Arc::clone(&self.node);
         node.stopping.store(true, Ordering::SeqCst);
         node.members.lock().announce_leaving();
+        node.emit(LogEvent::ShutdownStarted, slog::o!());
         tokio::time::sleep(node.options.leave_time).await;
+        node.emit(LogEvent::ShutdownDraining, slog::o!());
+        let limit = Instant::now() + node.options.shutdown_timeout;
         while node.serving.load(Ordering::SeqCst) > 0 {
+            if Instant::now() >= limit {
+                let serving = node.serving.load(Ordering::SeqCst);
+                node.emit(LogEvent::ShutdownForced, slog::o!("requests" => serving));
+                break;
+            }
             tokio::time::sleep(STOP_POLL).await;
         }
         node_quota::hand_over(&node).await;
--- a/src/node_config.rs
+++ b/src/node_config.rs
@@ -6,6 +6,7 @@
 use futures::StreamExt as _;
 use rand::RngExt as _;
 
+use crate::event_catalogue::LogEvent;
 use crate::{
     config_apply, config_change, config_log, freshness, ids, member_choice, node, peer_message,
     token_index,
@@ -52,7 +53,9 @@
             ticks.tick().await;
             if self.confirms_now() {
                 // The next second tries again.
-                let _ = self.confirm().await;
+                if let Err(error) = self.confirm().await {
+                    self.emit(LogEvent::KvFailed, slog::o!("error" => error.to_string()));
+                }
             }
         }
     }
--- a/tests/chat_client.rs
+++ b/tests/chat_client.rs
@@ -24,7 +24,7 @@
 }
 
 /// Guards against replies that the usual client library cannot read.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread")]
 async fn whole_and_streamed_answers_are_equal() {
     let path = whole_path::start().await;
     let client = client(&path);
--- a/tests/request_faults.rs
+++ b/tests/request_faults.rs
@@ -3,6 +3,7 @@
 mod whole_path;
 
 use serde_json::{Value, json};
+use yuccareel::records::RoutingRecord;
 use yuccareel::records::model::VersionState;
 use yuccareel::standins::engine::EngineFaults;
 
@@ -50,7 +51,7 @@
 }
 
 /// Guards against a short, foreign or missing answer that looks whole.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread")]
 async fn stream_faults_give_the_whole_answer_or_an_error() {
     struct Case {
         name: &'static str,
@@ -109,11 +110,11 @@
 }
 
 /// Guards against `ran: no` on a request that an engine may have run.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread")]
 async fn refusals_say_truly_whether_the_request_ran() {
     struct Case {
         name: &'static str,
-        prepare: fn(&whole_path::WholePath),
+        prepare: fn(&whole_path::WholePath) -> Option<RoutingRecord>,
         code: &'static str,
         ran: &'static str,
     }
@@ -121,13 +122,11 @@
         Case {
             name: "version withdrawn",
             prepare: |path| {
-                path.adopt(|snapshot| {
-                    let mut model = (*snapshot.models["small"]).clone();
-                    model.versions.iter_mut().for_each(|version| {
-                        version.state = VersionState::Withdrawn;
-                    });
-                    snapshot.put(yuccareel::records::RoutingRecord::Model(model));
+                let mut model = (*path.node().snapshot.load().models["small"]).clone();
+                model.versions.iter_mut().for_each(|version| {
+                    version.state = VersionState::Withdrawn;
                 });
+                Some(RoutingRecord::Model(model))
             },
             code: "version_withdrawn",
             ran: "no",
@@ -135,11 +134,9 @@
         Case {
             name: "model not allowed",
             prepare: |path| {
-                path.adopt(|snapshot| {
-                    let mut customer = (*snapshot.customers["acme"]).clone();
-                    customer.allowed.clear();
-                    snapshot.put(yuccareel::records::RoutingRecord::Customer(customer));
-                });
+                let mut customer = (*path.node().snapshot.load().customers["acme"]).clone();
+                customer.allowed[0].versions = Some(Vec::new());
+                Some(RoutingRecord::Customer(customer))
             },
             code: "model_not_allowed",
             ran: "no",
@@ -150,6 +147,7 @@
                 for placed in &path.platform.engines {
                     placed.engine.faults.lock().errors = true;
                 }
+                None
             },
             code: "backend_failed",
             ran: "unknown",
@@ -157,7 +155,9 @@
     ];
     for case in &cases {
         let path = whole_path::start().await;
-        (case.prepare)(&path);
+        if let Some(record) = (case.prepare)(&path) {
+            path.apply(vec![record]).await;
+        }
         let error = ask(&path, false).await.error.expect(case.name);
         assert_eq!(error["code"], case.code, "{}", case.name);
         assert_eq!(error["ran"], case.ran, "{}", case.name);
@@ -168,7 +168,7 @@
 }
 
 /// Guards against bad input that gets no clear error, or that disturbs the node.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread")]
 async fn bad_input_is_refused_with_its_place() {
     struct Case {
         name: &'static str,
--- a/tests/whole_path/mod.rs
+++ b/tests/whole_path/mod.rs
@@ -5,41 +5,63 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use yuccareel::standins::{engine, platform, server, service};
+use yuccareel::standins::{engine, platform, service};
 use yuccareel::{
-    config_snapshot, http_server, instance_list, kv_client, node, records, replica_table,
-    token_index,
+    config_apply, config_store, daemon, node, record_reader, records, settings, token_index,
 };
 
 /// Bearer token of the test customer.
 pub const TOKEN: &str = "test-token";
 
-/// Node with its platform.
+/// Nodes with their platform.
 pub struct WholePath {
     pub platform: platform::PlatformStandin,
-    pub node: Arc<node::Node>,
     pub address: SocketAddr,
+    pub served: Vec<daemon::ServedNode>,
 }
 
 impl WholePath {
-    /// URL of a path at the node.
+    /// First node.
+    pub fn node(&self) -> &Arc<node::Node> {
+        &self.served[0].running.node
+    }
+
+    /// URL of a path at the first node.
     pub fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.address)
     }
 
-    /// Puts records in force at the next sequence number.
-    pub fn adopt(&self, change: impl FnOnce(&mut config_snapshot::ConfigSnapshot)) {
-        let mut snapshot = (**self.node.snapshot.load()).clone();
-        change(&mut snapshot);
-        snapshot.sequence += 1;
-        self.node.adopt(snapshot);
+    /// Commits records by the ordinary path and waits until every node has them in effect.
+    pub async fn apply(&self, puts: Vec<records::RoutingRecord>) {
+        let store = config_store::ConfigStore::new(Arc::new(self.platform.kv.clone()));
+        let (snapshot, _) = store.load_snapshot().await.unwrap();
+        let apply = config_apply::ConfigApply {
+            apply_id: format!("{:032x}", rand::random::<u128>()).into(),
+            author: "test".into(),
+            expected_sequence: None,
+            written_at_ms: 0,
+            puts: puts.into_iter().map(located).collect(),
+            removals: Vec::new(),
+        };
+        let outcome = store.apply(Arc::new(snapshot), &apply).await.unwrap();
+        let sequence = outcome.sequence();
+        self.wait(|node| node.snapshot.load().sequence >= sequence && node.ready()).await;
+        self.wait(|node| !node.replicas.load().rows().is_empty()).await;
     }
 
-    /// Reads the instance list now.
-    pub async fn refresh(&self) {
-        let list = self.platform.list.instances.lock().clone();
-        let table = replica_table::ReplicaTable::from_list(&list, &self.node.replicas.load());
-        self.node.replicas.store(Arc::new(table));
+    /// Waits until a condition holds on every node.
+    pub async fn wait(&self, condition: impl Fn(&node::Node) -> bool) {
+        let limit = tokio::time::Instant::now() + Duration::from_secs(20);
+        while !self.served.iter().all(|served| condition(&served.running.node)) {
+            let states = || self.served.iter().map(|served| state(&served.running.node));
+            let late = tokio::time::Instant::now() >= limit;
+            assert!(
+                !late,
+                "condition does not hold within 20 s: {:#?}",
+                states().collect::<Vec<_>>()
+            );
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
     }
 }
 
@@ -69,25 +91,63 @@
     let booking = service::ServiceStandin::default();
     platform.add_service("dc-a", "hire-desk", "h1", booking.clone()).await;
     platform.add_service("dc-b", "hire-desk", "h2", booking).await;
-    let http = reqwest::Client::new();
-    let kv_url = format!("http://{}", platform.kv_address);
-    let list_url = format!("http://{}", platform.list_address);
-    let options = node::NodeOptions {
-        name: "entry-1".into(),
-        data_centre: "dc-a".into(),
-        advertise: platform::loopback(),
-        body_limit: 64 << 10,
-        store: Arc::new(kv_client::HttpKvStore::new(http.clone(), kv_url)),
-        list: instance_list::ListClient::new(http, list_url),
-    };
-    let node = Arc::new(node::Node::new(options).unwrap());
-    let (address, _task) = server::serve(http_server::router(&node)).await;
-    let path = WholePath { platform, node, address };
-    path.adopt(|snapshot| test_records().into_iter().for_each(|record| snapshot.put(record)));
-    path.refresh().await;
+    let served = daemon::ServedNode::start(&settings(&platform, "entry-1", "dc-a"), logger(), None)
+        .await
+        .unwrap();
+    let path = WholePath { platform, address: served.address, served: vec![served] };
+    path.apply(test_records()).await;
     path
 }
 
+/// State of a node for messages of failed tests.
+fn state(node: &node::Node) -> impl std::fmt::Debug + use<> {
+    let rows = node.replicas.load().rows().len();
+    (node.options.name.clone(), node.status(), node.view.load_full(), rows, node.watches())
+}
+
+fn located(record: records::RoutingRecord) -> record_reader::LocatedRecord {
+    record_reader::LocatedRecord { file: "test".into(), record }
+}
+
+/// Log of a test; the harness shows it when the test fails.
+pub fn logger() -> slog::Logger {
+    use slog::Drain as _;
+    let drain = slog_json::Json::default(std::io::stderr()).fuse();
+    slog::Logger::root(std::sync::Mutex::new(drain).fuse(), slog::o!())
+}
+
+/// Settings of an instance on free loopback ports.
+pub fn settings(
+    platform: &platform::PlatformStandin,
+    name: &str,
+    data_centre: &str,
+) -> settings::Settings {
+    let digest = token_index::token_digest("operator");
+    settings::Settings {
+        listen: platform::loopback(),
+        peer_listen: platform::loopback(),
+        advertise: platform::loopback(),
+        peer_advertise: platform::loopback(),
+        name: name.into(),
+        data_centre: data_centre.into(),
+        kv_url: format!("http://{}", platform.kv_address),
+        instance_list_url: format!("http://{}", platform.list_address),
+        rating_url: None,
+        weight_store_url: None,
+        peer_secret: settings::PeerSecret::new(b"a secret of the tests only"),
+        operator_token_sha256: digest,
+        limits: settings::RequestLimits {
+            body_bytes: 64 << 10,
+            header_bytes: 16 << 10,
+            header_timeout: Duration::from_secs(5),
+            body_timeout: Duration::from_secs(5),
+            request_timeout: Duration::from_secs(20),
+            shutdown_timeout: Duration::from_secs(1),
+        },
+        log_level: slog::Level::Info,
+    }
+}
+
 /// Records of the tests.
 pub fn test_records() -> Vec<records::RoutingRecord> {
     use records::RoutingRecord as Record;
@@ -119,7 +179,7 @@
             limits: records::customer::CustomerLimits {
                 requests_per_s: 10_000.0,
                 concurrency: 1_000,
-                spend_per_day: u64::MAX,
+                spend_per_day: 1_000_000_000_000,
             },
         }),
         Record::Service(records::service::ServiceRecord {
