--- a/src/admin_error.rs
+++ b/src/admin_error.rs
@@ -53,6 +53,7 @@
                 ApplyError::ExpectedUnknown { .. } => (409, "expected_sequence_unknown"),
                 ApplyError::TooLarge { .. } => (413, "change_too_large"),
                 ApplyError::Contended(_) => (503, "contended"),
+                ApplyError::Refused(refusal) => (refusal.reason.status(), refusal.reason.code()),
                 ApplyError::Store(_) => (503, "store_failed"),
                 ApplyError::OutcomeUnknown { .. } => (504, "outcome_unknown"),
             },
--- a/src/admin_handler.rs
+++ b/src/admin_handler.rs
@@ -177,13 +177,15 @@
                 unchanged: matches!(outcome, ApplyOutcome::Unchanged(_)),
                 apply_id,
             }),
+            Err(ApplyError::Refused(refusal)) => Err(refusal.into()),
             Err(error) => Err(AdminError::Apply { error, apply_id }),
         }
     }
 
     async fn commit(self: Arc<Self>, apply: ConfigApply) -> Result<ApplyOutcome, ApplyError> {
         let store = ConfigStore::new(self.store.clone());
-        let work = store.apply(self.snapshot.load_full(), &apply);
+        let gate = || self.context.may_accept();
+        let work = store.apply(self.snapshot.load_full(), &apply, &gate);
         let outcome = tokio::time::timeout(APPLY_TIMEOUT, work)
             .await
             .unwrap_or_else(|elapsed| Err(unknown(&apply.apply_id, elapsed)))?;
--- a/src/cli_options.rs
+++ b/src/cli_options.rs
@@ -92,7 +92,7 @@
     options.optflagopt(
         "w",
         "wait",
-        "wait until the change is in effect on every instance (default 30 s)",
+        "wait until the change is in effect on every instance; --wait=SECONDS sets the limit (default 30 s)",
         "SECONDS",
     );
     options.optflag("", "against-server", "check on top of the records in effect");
--- a/src/config_apply.rs
+++ b/src/config_apply.rs
@@ -6,6 +6,7 @@
 
 use crate::config_change::ConfigChange;
 use crate::config_keys::ValueError;
+use crate::error_body::RequestRefusal;
 use crate::record_finding::RecordFinding;
 use crate::record_reader::LocatedRecord;
 use crate::{ids, kv_store};
@@ -93,6 +94,9 @@
         /// Limit.
         limit: usize,
     },
+    /// This node may not commit now; nothing was written.
+    #[error(transparent)]
+    Refused(RequestRefusal),
     /// Nothing was written.
     #[error("nothing was written: {0}")]
     Store(ConfigError),
--- a/src/config_store.rs
+++ b/src/config_store.rs
@@ -17,6 +17,7 @@
 use crate::config_keys::{self, ConfigHead, ValueError};
 use crate::config_plan::{self, ConfigPlan};
 use crate::config_snapshot::ConfigSnapshot;
+use crate::error_body::RequestRefusal;
 use crate::kv_store::{KvError, KvEvent, KvStore};
 use crate::{ids, kv_client};
 
@@ -46,6 +47,9 @@
     store: Arc<dyn KvStore>,
 }
 
+/// Whether this node may commit now, or the refusal to answer with.
+pub type CommitGate<'a> = dyn Fn() -> Result<(), RequestRefusal> + Sync + 'a;
+
 /// What became of a transaction.
 enum CommitResult {
     Committed,
@@ -171,7 +175,9 @@
 
     /// Commits a change on top of the newest configuration.
     ///
-    /// The snapshot in effect saves reading all records when it is current.
+    /// The snapshot in effect saves reading all records when it is current. The gate is asked
+    /// immediately before every transaction, because a node that was paused since it took the
+    /// call may have lost its right to commit.
     ///
     /// # Errors
     /// See `ApplyError`; only `OutcomeUnknown` leaves open whether the change was written.
@@ -179,6 +185,7 @@
         &self,
         in_effect: Arc<ConfigSnapshot>,
         apply: &ConfigApply,
+        gate: &CommitGate<'_>,
     ) -> Result<ApplyOutcome, ApplyError> {
         let mut base = in_effect;
         let mut seen = apply.expected_sequence;
@@ -201,7 +208,7 @@
             let Some(plan) = ConfigPlan::new(&base, stored.revision, apply)? else {
                 return Ok(ApplyOutcome::Unchanged(head));
             };
-            match self.commit(&plan).await? {
+            match self.commit(&plan, gate).await? {
                 CommitResult::Committed => return Ok(ApplyOutcome::Committed(plan.change)),
                 CommitResult::Overtaken(false) => {}
                 CommitResult::Overtaken(true) => pending = Some(plan.change.sequence),
@@ -264,10 +271,20 @@
         }
     }
 
-    async fn commit(&self, plan: &ConfigPlan) -> Result<CommitResult, ApplyError> {
+    async fn commit(
+        &self,
+        plan: &ConfigPlan,
+        gate: &CommitGate<'_>,
+    ) -> Result<CommitResult, ApplyError> {
         let change = &plan.change;
         let mut lost: Option<KvError> = None;
         for _ in 0..COMMIT_ATTEMPTS {
+            if let Err(refusal) = gate() {
+                match lost {
+                    None => return Err(ApplyError::Refused(refusal)),
+                    Some(_) => break,
+                }
+            }
             match call(self.store.commit(plan.transaction.clone())).await {
                 Ok(outcome) if outcome.committed => return Ok(CommitResult::Committed),
                 Ok(_) => return Ok(CommitResult::Overtaken(lost.is_some())),
--- a/tests/admin_handler.rs
+++ b/tests/admin_handler.rs
@@ -106,6 +106,12 @@
         case("no author", nameless.to_string(), 400, "body_invalid"),
         case("too large", " ".repeat(5 << 20), 413, "body_too_large"),
         case("faulty record", unknown_model.to_string(), 422, "records_invalid"),
+        case(
+            "newer schema",
+            drain(None).to_string().replace("\"schema\":2", "\"schema\":3"),
+            422,
+            "records_invalid",
+        ),
         case("overtaken", drain(Some(0)).to_string(), 409, "conflict"),
         case("not yet reached", drain(Some(7)).to_string(), 409, "expected_sequence_unknown"),
         Case {
--- a/tests/record_reader.rs
+++ b/tests/record_reader.rs
@@ -239,10 +239,18 @@
 
     /// Guards against a panic on bytes that no operator meant to write.
     #[test]
-    fn arbitrary_bytes_do_not_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+    fn arbitrary_bytes_do_not_panic(
+        bytes in prop::collection::vec(any::<u8>(), 0..200),
+        splice in "[\\[\\]{}=\",.0-9a-z\n -]{0,12}",
+        start in 0..support::GOOD.len(),
+        length in 0usize..40,
+    ) {
         for file in ["a.toml", "a.json"] {
             RecordBatch::default().read_file(file, &bytes);
         }
+        let end = (start + length).min(support::GOOD.len());
+        let text = [&support::GOOD[..start], &splice, &support::GOOD[end..]].concat();
+        RecordBatch::default().read_file("spliced.toml", text.as_bytes());
     }
 
     /// Guards against a panic on valid documents of an unexpected shape, and against
