Test configuration commits through the key-value gateway

The store's tests ran against the stand-in in memory only, so a gateway that reads the absent head (mod revision 0) differently would go unnoticed.

Adds one test over HTTP.

--- a/tests/config_store.rs
+++ b/tests/config_store.rs
@@ -9,9 +9,12 @@
 use yuccareel::config_keys::{self, ValueError};
 use yuccareel::config_plan;
 use yuccareel::config_snapshot::ConfigSnapshot;
+use yuccareel::config_store::ConfigStore;
+use yuccareel::kv_client;
 use yuccareel::kv_store::{KvOperation, KvStore as _, KvTransaction};
 use yuccareel::record_reader::LocatedRecord;
 use yuccareel::records::RoutingRecord;
+use yuccareel::standins::{kv, kv_http, server};
 
 #[path = "support/config.rs"]
 mod config;
@@ -165,3 +168,21 @@
     assert_eq!(error, ApplyError::Store(ConfigError::StoreBehind { stored: 1, in_effect: 9 }));
     assert_eq!(standin.calls().1, 1);
 }
+
+/// Guards against a key-value gateway that reads revision 0 or the padded keys differently.
+#[tokio::test]
+async fn changes_pass_through_the_gateway() {
+    let (address, _task) = server::serve(kv_http::router(kv::KvStandin::default())).await;
+    let client = kv_client::HttpKvStore::new(reqwest::Client::new(), format!("http://{address}"));
+    let store = ConfigStore::new(Arc::new(client));
+    for (sequence, name) in [(1, "a"), (2, "b"), (3, "a")] {
+        let outcome = config::commit(&store, &config::put(&format!("r{sequence}"), name)).await;
+        assert_eq!(outcome.unwrap().sequence(), sequence);
+    }
+    let (snapshot, stored) = store.load_snapshot().await.unwrap();
+    assert_eq!((snapshot.sequence, stored.head.sequence), (3, 3));
+    assert_eq!(snapshot.data_centres["a"].region, "r3");
+    let changes = store.load_changes(1, 3).await.unwrap();
+    assert_eq!(changes.iter().map(|change| change.sequence).collect::<Vec<_>>(), [2, 3]);
+    assert_eq!(store.history(1).await.unwrap()[0]["apply_id"], "r3");
+}
