Cut groups of nodes in the share schedules

A home that is cut off alone has nobody to grant to, so the schedules could not show a missing isolation rule. Pairs of nodes are now cut off together for up to 45 s.

--- a/tests/quota_schedule.rs
+++ b/tests/quota_schedule.rs
@@ -25,11 +25,24 @@
 
 #[derive(Clone, Debug)]
 enum Fault {
-    Kill { node: usize },
-    Restart { node: usize },
-    Cut { node: usize, for_ms: u64 },
-    Pause { node: usize, for_ms: u64 },
-    ShutDown { node: usize },
+    Kill {
+        node: usize,
+    },
+    Restart {
+        node: usize,
+    },
+    /// Two nodes reach each other but nobody else.
+    Cut {
+        nodes: [usize; 2],
+        for_ms: u64,
+    },
+    Pause {
+        node: usize,
+        for_ms: u64,
+    },
+    ShutDown {
+        node: usize,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -54,6 +67,7 @@
     alive: bool,
     paused_until: Duration,
     cut_until: Duration,
+    cut_at: Duration,
     last_contact: Duration,
     view: Vec<ids::InstanceName>,
     learns_at: Duration,
@@ -71,7 +85,7 @@
     nodes: Vec<Node>,
     members: Vec<ids::InstanceName>,
     removals: Vec<(Duration, ids::InstanceName)>,
-    messages: Vec<(Duration, usize, Message)>,
+    messages: Vec<(Duration, [usize; 2], Message)>,
     resource: Arc<str>,
 }
 
@@ -135,6 +149,7 @@
                 alive: true,
                 paused_until: Duration::ZERO,
                 cut_until: Duration::ZERO,
+                cut_at: Duration::ZERO,
                 last_contact: Duration::ZERO,
                 view: members.clone(),
                 learns_at: Duration::MAX,
@@ -182,11 +197,13 @@
                 self.removals.push((now + DEAD_AFTER, node.name.clone()));
             }
             Fault::Restart { node } => self.restart(node),
-            Fault::Cut { node, for_ms } => {
-                let (name, until) = (self.nodes[node].name.clone(), now + ms(for_ms));
-                self.nodes[node].cut_until = until;
-                if ms(for_ms) > DEAD_AFTER {
-                    self.removals.push((now + DEAD_AFTER, name));
+            Fault::Cut { nodes, for_ms } => {
+                for node in nodes {
+                    let node = &mut self.nodes[node];
+                    (node.cut_until, node.cut_at) = (now + ms(for_ms), now);
+                    if ms(for_ms) > DEAD_AFTER {
+                        self.removals.push((now + DEAD_AFTER, node.name.clone()));
+                    }
                 }
             }
             Fault::Pause { node, for_ms } => {
@@ -243,14 +260,21 @@
         node.alive && self.now >= node.cut_until && self.now >= node.paused_until
     }
 
+    fn connected(&self, from: usize, to: usize) -> bool {
+        let side = |index: usize| {
+            let node = &self.nodes[index];
+            (self.now < node.cut_until).then_some(node.cut_at)
+        };
+        from == to || side(from) == side(to)
+    }
+
     fn send(&mut self, from: usize, to: usize, message: Message) {
-        let node = &self.nodes[from];
-        let lost = self.now < node.cut_until || self.random.random_bool(self.schedule.loss);
-        if !lost {
+        let lost = self.random.random_bool(self.schedule.loss);
+        if !lost && self.connected(from, to) {
             // A few messages are so late that they arrive behind later ones.
             let late = if self.random.random_bool(0.1) { 2_500 } else { 150 };
             let arrives_at = self.now + ms(self.random.random_range(0..late));
-            self.messages.push((arrives_at, to, message));
+            self.messages.push((arrives_at, [from, to], message));
         }
     }
 
@@ -260,12 +284,12 @@
             .into_iter()
             .partition::<Vec<_>, _>(|(arrives_at, ..)| *arrives_at <= now);
         self.messages = kept;
-        for (_, to, message) in due {
-            let node = &mut self.nodes[to];
+        for (_, [from, to], message) in due {
+            let node = &self.nodes[to];
             if now < node.paused_until {
                 // Waits in the receive buffer until the process runs again.
-                self.messages.push((node.paused_until, to, message));
-            } else if node.alive && now >= node.cut_until {
+                self.messages.push((node.paused_until, [from, to], message));
+            } else if node.alive && self.connected(from, to) {
                 self.handle(to, message);
             }
         }
@@ -368,11 +392,13 @@
 
 fn faults() -> impl Strategy<Value = Fault> {
     let node = 0..5_usize;
-    let time = 200..20_000_u64;
+    // Whole steps, so that the end of a fault falls on one.
+    let time = (2..450_u64).prop_map(|steps| steps * 100);
     prop_oneof![
         node.clone().prop_map(|node| Fault::Kill { node }),
         node.clone().prop_map(|node| Fault::Restart { node }),
-        (node.clone(), time.clone()).prop_map(|(node, for_ms)| Fault::Cut { node, for_ms }),
+        ([node.clone(), node.clone()], time.clone())
+            .prop_map(|(nodes, for_ms)| Fault::Cut { nodes, for_ms }),
         (node.clone(), time).prop_map(|(node, for_ms)| Fault::Pause { node, for_ms }),
         node.prop_map(|node| Fault::ShutDown { node }),
     ]
