--- a/src/admission_queue.rs
+++ b/src/admission_queue.rs
@@ -178,7 +178,9 @@
             RequestLane::Batch => batch_part,
         };
         let weight = self.weight(&request.customer);
-        let ahead = lane.work_ahead(&request.customer, weight);
+        // While others wait, the request also waits for one dispatch of its own lane.
+        let turn = f64::from(u8::from(!self.is_empty()));
+        let ahead = lane.work_ahead(&request.customer, weight) + turn;
         Duration::try_from_secs_f64(ahead / (rate * part)).unwrap_or(MAX_RETRY_AFTER)
     }
 
