--- a/tests/ledger_support/mod.rs
+++ b/tests/ledger_support/mod.rs
@@ -1,6 +1,7 @@
 //! Nodes with claims and bills over one key-value stand-in, with faults per node.
 #![allow(dead_code)]
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +13,9 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
-use yuccareel::kv_store::{KvEntry, KvError, KvEvent, KvOutcome, KvRange, KvStore, KvTransaction};
+use yuccareel::kv_store::{
+    KvEntry, KvError, KvEvent, KvOperation, KvOutcome, KvRange, KvStore, KvTransaction,
+};
 use yuccareel::standins::kv::KvStandin;
 use yuccareel::{bill_copies, bill_ledger, bill_line, claim_record, claim_store, claim_table, ids};
 
@@ -74,13 +77,19 @@
             faults.late_commits = faults.late_commits.saturating_sub(1);
             late.then_some(faults.late_by)
         };
+        let (inner, leases) = (self.inner.clone(), put_leases(&transaction));
         let Some(late_by) = late_by else {
-            return self.gated(self.inner.commit(transaction)).boxed();
+            let call = async move {
+                let outcome = inner.commit(transaction).await;
+                drop_lapsed(&inner, &leases);
+                outcome
+            };
+            return self.gated(call).boxed();
         };
-        let inner = self.inner.clone();
         tokio::spawn(async move {
             sleep(late_by).await;
             let _ = inner.table.lock().commit(&transaction);
+            drop_lapsed(&inner, &leases);
         });
         let answer = async {
             sleep(Duration::from_millis(50)).await;
@@ -110,6 +119,24 @@
     }
 }
 
+fn put_leases(transaction: &KvTransaction) -> BTreeSet<ids::LeaseId> {
+    let leases = transaction.operations.iter().filter_map(|operation| match operation {
+        KvOperation::Put(_, _, lease) if *lease != 0 => Some(*lease),
+        KvOperation::Put(..) | KvOperation::Delete(_) => None,
+    });
+    leases.collect()
+}
+
+/// Removes keys put under a lapsed lease. The service refuses such puts, the stand-in does not.
+fn drop_lapsed(kv: &KvStandin, leases: &BTreeSet<ids::LeaseId>) {
+    let mut table = kv.table.lock();
+    for lease in leases {
+        if !table.renew_lease(*lease) {
+            table.revoke_lease(*lease);
+        }
+    }
+}
+
 /// Peer that keeps copies, over a connection with a delay; no peer when absent.
 #[derive(Clone, Default)]
 pub struct PeerLink {
