--- /dev/null
+++ b/tests/open_bills.rs
@@ -0,0 +1,87 @@
+//! Properties of the open bills that an instance and its peers extend together.
+
+mod ledger_support;
+
+use std::collections::BTreeMap;
+
+use ledger_support::bill;
+use proptest::prelude::{Strategy, any, prop_assert, prop_assert_eq, proptest};
+use yuccareel::bill_batch::{BillBatch, BillNumber};
+use yuccareel::open_bills::OpenBills;
+
+/// Action of the instance or of one of its peers.
+#[derive(Clone, Debug)]
+enum Action {
+    /// The instance records a bill; each flagged peer receives a copy.
+    Record([bool; 2]),
+    /// A side reads the chain up to a number of batches and tries to extend it.
+    Flush(usize, usize),
+    /// The instance's report of its flushed bills reaches a peer.
+    Report(usize),
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    proptest::prop_oneof![
+        4 => any::<[bool; 2]>().prop_map(Action::Record),
+        3 => (0..3_usize, 0..4_usize).prop_map(|(side, reads)| Action::Flush(side, reads)),
+        1 => (0..2_usize).prop_map(Action::Report),
+    ]
+}
+
+/// Reads some batches, then writes at the end of the chain as far as the side knows it.
+fn flush(chain: &mut BTreeMap<BillNumber, BillBatch>, side: &mut OpenBills, reads: usize) {
+    for _ in 0..reads {
+        let Some(batch) = chain.get(&(side.flushed() + 1)) else { break };
+        side.adopt(batch);
+    }
+    if let Some(batch) = side.next_batch() {
+        let written = chain.entry(batch.first).or_insert(batch).clone();
+        side.adopt(&written);
+    }
+}
+
+proptest! {
+    /// Guards against orders of records, copies, reports and flushes that lose a bill, bill a
+    /// request twice, or write ranges that overlap.
+    #[test]
+    fn chain_bills_each_request_once(actions in proptest::collection::vec(action(), 1..60)) {
+        let mut sides = [OpenBills::default(), OpenBills::default(), OpenBills::default()];
+        let mut chain = BTreeMap::new();
+        let mut recorded = 0;
+        for action in actions {
+            match action {
+                Action::Record(copied) => {
+                    recorded += 1;
+                    let number = sides[0].push(bill(recorded, "rungwell"));
+                    for (peer, _) in copied.iter().enumerate().filter(|(_, copied)| **copied) {
+                        let flushed = sides[0].flushed();
+                        sides[peer + 1].drop_through(flushed);
+                        if number > sides[peer + 1].flushed() {
+                            sides[peer + 1].insert(number, bill(recorded, "rungwell"));
+                        }
+                    }
+                }
+                Action::Flush(side, reads) => flush(&mut chain, &mut sides[side], reads),
+                Action::Report(peer) => {
+                    let flushed = sides[0].flushed();
+                    sides[peer + 1].drop_through(flushed);
+                }
+            }
+        }
+        for _ in 0..200 {
+            sides.iter_mut().for_each(|side| flush(&mut chain, side, 9));
+        }
+        let mut last = 0;
+        let mut counts = BTreeMap::new();
+        for batch in chain.values() {
+            prop_assert_eq!(batch.first, last + 1);
+            last = batch.last;
+            for (_, line) in batch.lines() {
+                *counts.entry(line.request).or_insert(0) += 1;
+            }
+        }
+        prop_assert!(sides.iter().all(OpenBills::is_empty));
+        prop_assert!(sides.iter().all(|side| side.size_bytes() == 0));
+        prop_assert_eq!(counts, (1..=recorded).map(|request| (request, 1)).collect());
+    }
+}
