Keep claim segments small and let a new peer receive open bills

Cause: every claim write sends its whole segment; at 64 owners and 200 bookings/s the 16 KiB segments cost 4301 bytes sent per claim. Bills that were copied to a peer that has gone were not copied to its replacement. Change: segments are rolled at 4 KiB; peer_changed makes the next copy carry the open bills again.

--- a/src/bill_ledger.rs
+++ b/src/bill_ledger.rs
@@ -201,6 +201,12 @@
         tokio::spawn(async move { tokio::time::timeout(COPY_WAIT, copier.copy(copy)).await });
     }
 
+    /// Lets the next copy carry the open bills again, because another peer takes the copies.
+    pub fn peer_changed(&self) {
+        let mut table = self.table.lock();
+        table.copied = table.open.flushed();
+    }
+
     /// Bills that wait for a flush.
     pub fn open_bills(&self) -> usize {
         self.table.lock().open.len()
--- a/src/claim_log.rs
+++ b/src/claim_log.rs
@@ -11,8 +11,9 @@
 
 use crate::{claim_record, ids, kv_store};
 
-/// Size above which a new segment is started; each write sends the whole segment.
-pub const SEGMENT_BYTES: usize = 16 << 10;
+/// Size above which a new segment is started. Each write sends the whole segment, so larger
+/// segments cost bandwidth, and smaller ones cost keys.
+pub const SEGMENT_BYTES: usize = 4 << 10;
 
 /// Number of a record within this owner's memory.
 pub type RecordNumber = u64;
--- a/tests/bill_faults.rs
+++ b/tests/bill_faults.rs
@@ -204,6 +204,20 @@
     assert_eq!(peer.copies.open_bills("a@1"), 0, "flushed bills stay at the peer");
 }
 
+/// Guards against bills that are protected only by a peer that is gone.
+#[tokio::test(start_paused = true)]
+async fn new_peer_receives_open_bills() {
+    let (world, instance, _peer) = pair();
+    let other = Node::start(&world, "c@1", &[]);
+    for request in 1..=3 {
+        instance.ledger.record(bill(request, "rungwell")).await.unwrap();
+    }
+    *instance.link.peer.lock() = Some(other.copies.clone());
+    instance.ledger.peer_changed();
+    instance.ledger.record(bill(4, "rungwell")).await.unwrap();
+    assert_eq!(other.copies.open_bills("a@1"), 4);
+}
+
 /// Guards against memory that grows without bound in a long outage, values over the limit of
 /// the service, and loss when it returns.
 #[tokio::test(start_paused = true)]
