Release owner keys left behind by late takes

Every node held a lease, although at most 64 nodes own shards. Change: nodes with a lease read the owner keys every 30 s and adopt or delete unknown keys of their own; nodes without shards hold no lease; one unreadable shard no longer stops the loading of others.

--- a/src/claim_lease.rs
+++ b/src/claim_lease.rs
@@ -13,6 +13,9 @@
 pub const LEASE_TTL_S: i64 = 10;
 /// Time between renewals of the lease.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
+/// Time between reads of the owner keys by a node that wants no shard. A take that arrives
+/// late leaves a key behind that this node does not know of, and blocks the shard's home.
+const OWNERS_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Wall clock in milliseconds since 1970.
 pub type WallClock = Arc<dyn Fn() -> u64 + Send + Sync>;
@@ -30,6 +33,7 @@
 #[derive(Debug, Default)]
 struct LeaseState {
     held: Option<(ids::LeaseId, Instant)>,
+    owners_read_at: Option<Instant>,
     closed: bool,
 }
 
@@ -48,7 +52,13 @@
     /// Renews the lease, gives back and takes shards, loads those that are not loaded.
     pub async fn tick(&self) -> Result<(), kv_store::KvError> {
         let _turn = self.ticking.lock().await;
-        let Some(lease) = self.keep().await? else { return Ok(()) };
+        if self.state.lock().closed {
+            return Ok(());
+        }
+        if self.wanted_shards().is_empty() && self.table.lock().shards.is_empty() {
+            return self.release().await;
+        }
+        let lease = self.keep().await?;
         self.expire();
         self.give_back().await?;
         self.take_shards(lease).await?;
@@ -62,23 +72,26 @@
         state.held.take().map(|(lease, _)| lease)
     }
 
-    /// Renews the lease when due, or grants one; none once released.
-    async fn keep(&self) -> Result<Option<ids::LeaseId>, kv_store::KvError> {
-        let held = {
-            let lease = self.state.lock();
-            if lease.closed {
-                return Ok(None);
-            }
-            lease.held
-        };
+    /// Revokes the lease of a node without shards; most nodes of a large fleet have none.
+    async fn release(&self) -> Result<(), kv_store::KvError> {
+        let held = self.state.lock().held.take();
+        match held {
+            Some((lease, _)) => kv_deadline::bounded(self.store.revoke_lease(lease)).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Renews the lease when due, or grants one.
+    async fn keep(&self) -> Result<ids::LeaseId, kv_store::KvError> {
+        let held = self.state.lock().held;
         if let Some((lease, renewed_at)) = held {
             if renewed_at.elapsed() < RENEWAL_INTERVAL {
-                return Ok(Some(lease));
+                return Ok(lease);
             }
             let asked_at = Instant::now();
             if kv_deadline::bounded(self.store.renew_lease(lease)).await? {
                 self.state.lock().held = Some((lease, asked_at));
-                return Ok(Some(lease));
+                return Ok(lease);
             }
             // The owner keys went with the lease.
             self.state.lock().held = None;
@@ -87,7 +100,7 @@
         let asked_at = Instant::now();
         let lease = kv_deadline::bounded(self.store.grant_lease(LEASE_TTL_S)).await?;
         self.state.lock().held = Some((lease, asked_at));
-        Ok(Some(lease))
+        Ok(lease)
     }
 
     fn expire(&self) {
@@ -112,36 +125,52 @@
             }
         }
         for (number, fence) in idle {
-            let key = claim_table::owner_key(number);
-            let transaction = kv_store::KvTransaction {
-                compares: vec![kv_store::KvCompare::CreateRevision(key.clone(), fence)],
-                operations: vec![kv_store::KvOperation::Delete(key)],
-            };
+            self.delete_owner(number, fence).await?;
             // Without the key, or after a refused compare, the shard is not owned any more.
-            kv_deadline::bounded(self.store.commit(transaction)).await?;
             self.table.lock().give_up(number);
         }
         Ok(())
     }
 
+    async fn delete_owner(
+        &self,
+        number: ids::ShardNumber,
+        fence: ids::KvRevision,
+    ) -> Result<(), kv_store::KvError> {
+        let key = claim_table::owner_key(number);
+        let transaction = kv_store::KvTransaction {
+            compares: vec![kv_store::KvCompare::CreateRevision(key.clone(), fence)],
+            operations: vec![kv_store::KvOperation::Delete(key)],
+        };
+        kv_deadline::bounded(self.store.commit(transaction)).await?;
+        Ok(())
+    }
+
     /// Takes the shards whose home is here and that have no owner.
     async fn take_shards(&self, lease: ids::LeaseId) -> Result<(), kv_store::KvError> {
         let mut wanted = self.wanted_shards();
-        if wanted.is_empty() {
+        let read_at = self.state.lock().owners_read_at;
+        if wanted.is_empty() && read_at.is_some_and(|at| at.elapsed() < OWNERS_INTERVAL) {
             return Ok(());
         }
         let owners =
             kv_deadline::bounded(self.store.range(claim_table::OWNER_PREFIX)).await?.entries;
+        self.state.lock().owners_read_at = Some(Instant::now());
         for entry in owners {
             let number = entry.key.rsplit('/').next().and_then(|text| text.parse().ok());
-            let Some(place) = wanted.iter().position(|shard| Some(*shard) == number) else {
+            let Some(number) = number else { continue };
+            wanted.retain(|shard| *shard != number);
+            let known = self.table.lock().shards.contains_key(&number);
+            if entry.lease != lease || known {
                 continue;
-            };
-            let number = wanted.swap_remove(place);
-            // The answer of an earlier attempt was lost.
-            if entry.lease == lease {
+            }
+            // An earlier take of this node whose answer was lost.
+            let home = self.table.lock().home(number);
+            if home.as_ref() == Some(&self.instance) {
                 let owned = claim_table::OwnedShard::new(entry.create_revision);
                 self.table.lock().shards.insert(number, owned);
+            } else {
+                self.delete_owner(number, entry.create_revision).await?;
             }
         }
         if wanted.is_empty() {
@@ -183,16 +212,23 @@
             let unloaded = table.shards.iter().filter(|(_, owned)| owned.claims.is_none());
             unloaded.map(|(number, owned)| (*number, owned.fence)).collect()
         };
+        let mut unreadable = Ok(());
         for (number, fence) in unloaded {
             let prefix = claim_shard::segment_prefix(number);
             let range = kv_deadline::bounded(self.store.range(&prefix)).await?;
-            let claims = claim_shard::ClaimShard::load(&range.entries)
-                .map_err(|error| kv_store::KvError::Unreadable(error.to_string()))?;
+            let claims = match claim_shard::ClaimShard::load(&range.entries) {
+                Ok(claims) => claims,
+                // Claims of an unreadable shard stay refused; the other shards serve.
+                Err(error) => {
+                    unreadable = Err(kv_store::KvError::Unreadable(error.to_string()));
+                    continue;
+                }
+            };
             let mut table = self.table.lock();
             if table.fenced(number, fence).is_some() {
                 table.install(number, claims, (self.clock)());
             }
         }
-        Ok(())
+        unreadable
     }
 }
