Keep only answers as orphans of a lost claim shard

Cause: an owner that lost its shard kept the withdrawal of a request whose claimant was gone and applied it after taking the shard again, although the request had claimed its key from the owner in between and was running; another request could then run too (schedule seed 181). Change: only answers, which are final, outlive the loss of a shard.

--- a/src/claim_store.rs
+++ b/src/claim_store.rs
@@ -86,7 +86,7 @@
         request: ids::RequestId,
         answer: claim_record::ClaimAnswer,
     ) -> Result<(), claim_table::ClaimEndError> {
-        self.end(claim_table::ClaimOrphan { key, request, answer: Some(answer) })
+        self.end(&key, request, Some(answer))
     }
 
     /// Frees the key of a call of which no byte was sent.
@@ -95,18 +95,22 @@
         key: claim_record::ClaimKey,
         request: ids::RequestId,
     ) -> Result<(), claim_table::ClaimEndError> {
-        self.end(claim_table::ClaimOrphan { key, request, answer: None })
+        self.end(&key, request, None)
     }
 
-    /// Ends a call; also takes the orphans of a former owner.
-    pub fn end(&self, orphan: claim_table::ClaimOrphan) -> Result<(), claim_table::ClaimEndError> {
-        self.table.lock().end(orphan, (self.clock)())?;
+    fn end(
+        &self,
+        key: &claim_record::ClaimKey,
+        request: ids::RequestId,
+        answer: Option<claim_record::ClaimAnswer>,
+    ) -> Result<(), claim_table::ClaimEndError> {
+        self.table.lock().end(key, request, answer, (self.clock)())?;
         self.wake.notify_one();
         Ok(())
     }
 
-    /// Ends of calls that this node could not store before it lost their shards. They belong
-    /// to the new owners.
+    /// Answers that this node could not store before it lost their shards. The caller passes
+    /// them to `finish` of the new owners.
     pub fn take_orphans(&self) -> Vec<claim_table::ClaimOrphan> {
         self.table.lock().take_orphans()
     }
--- a/src/claim_table.rs
+++ b/src/claim_table.rs
@@ -76,15 +76,15 @@
     NotHeld,
 }
 
-/// End of a call that its shard's former owner could not store.
+/// Answer of a call that its shard's former owner could not store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimOrphan {
     /// Key.
     pub key: claim_record::ClaimKey,
     /// Request that held the key.
     pub request: ids::RequestId,
-    /// Answer; none when the call was never sent.
-    pub answer: Option<claim_record::ClaimAnswer>,
+    /// Answer.
+    pub answer: claim_record::ClaimAnswer,
 }
 
 type StartWaiters =
@@ -200,17 +200,23 @@
     }
 
     /// Ends a call with its answer, or without one when it was never sent.
-    pub fn end(&mut self, orphan: ClaimOrphan, now_ms: u64) -> Result<(), ClaimEndError> {
-        let number = claim_record::shard_of(&orphan.key);
+    pub fn end(
+        &mut self,
+        key: &claim_record::ClaimKey,
+        request: ids::RequestId,
+        answer: Option<claim_record::ClaimAnswer>,
+        now_ms: u64,
+    ) -> Result<(), ClaimEndError> {
+        let number = claim_record::shard_of(key);
         let home = self.home(number);
         let owned = self.shards.get_mut(&number);
         let owned = owned.ok_or(ClaimEndError::NotOwner(home))?;
         let claims = owned.claims.as_mut().ok_or(ClaimEndError::Loading)?;
-        if !claims.end(&orphan.key, orphan.request, orphan.answer.clone(), now_ms) {
+        if !claims.end(key, request, answer.clone(), now_ms) {
             return Err(ClaimEndError::NotHeld);
         }
-        let end = orphan.answer.map_or(ClaimEnd::NotRun, ClaimEnd::Finished);
-        notify(owned.ends.remove(&orphan.key), &end);
+        let end = answer.map_or(ClaimEnd::NotRun, ClaimEnd::Finished);
+        notify(owned.ends.remove(key), &end);
         Ok(())
     }
 
@@ -230,7 +236,7 @@
         let own: Vec<ClaimOrphan> = own;
         for orphan in own {
             // A claim that is not held any more has been ended by its serving node meanwhile.
-            let _ = self.end(orphan, now_ms);
+            let _ = self.end(&orphan.key, orphan.request, Some(orphan.answer), now_ms);
         }
     }
 
@@ -251,12 +257,12 @@
         }
         let records = owned.claims.iter().flat_map(|claims| claims.log.unwritten_records());
         for record in records {
-            let answer = match &record.event {
-                claim_record::ClaimEvent::Started(..) => continue,
-                claim_record::ClaimEvent::Finished(answer) => Some(answer.clone()),
-                claim_record::ClaimEvent::Abandoned => None,
-            };
-            self.orphans.push(ClaimOrphan { key: record.key, request: record.request, answer });
+            // Only answers are final. A request that was abandoned here because its claimant
+            // was gone may have claimed its key again from the new owner, and may run there.
+            if let claim_record::ClaimEvent::Finished(answer) = &record.event {
+                let (key, request, answer) = (record.key, record.request, answer.clone());
+                self.orphans.push(ClaimOrphan { key, request, answer });
+            }
         }
         let excess = self.orphans.len().saturating_sub(ORPHANS);
         self.orphans.drain(..excess);
