--- a/src/answer_reader.rs
+++ b/src/answer_reader.rs
@@ -52,6 +52,8 @@
     /// Whether an earlier attempt may have run.
     may_have_run: bool,
     last_error: Option<engine_client::AttemptError>,
+    /// Whether the next attempt has to be paid from the retry budget.
+    must_pay: bool,
 }
 
 impl AnswerReader {
@@ -78,6 +80,7 @@
             first_token: None,
             may_have_run: false,
             last_error: None,
+            must_pay: false,
         }
     }
 
@@ -150,6 +153,7 @@
     async fn open_elsewhere(&mut self) -> Result<bool, error_body::RequestRefusal> {
         loop {
             let dispatch = self.dispatch().await?;
+            self.pay_for(&dispatch)?;
             self.attempts += 1;
             // A silent connection may come from the pool, so a retry opens a new one.
             let fresh = self.last_error.is_some();
@@ -162,7 +166,7 @@
                 }
                 Err((error, dispatch)) => {
                     self.tried.push(dispatch.row.name.clone());
-                    self.may_retry(error, &dispatch)?;
+                    self.may_retry(error)?;
                 }
             }
         }
@@ -175,7 +179,7 @@
         let (node, job) = (Arc::clone(&self.node), Arc::clone(&self.job));
         let chosen = node.dispatch(&job, &self.target, &self.tried, self.attempts).await;
         let Err(refusal) = chosen else { return chosen };
-        let exhausted = refusal.reason == refusal_reason::RefusalReason::NoReplica;
+        let exhausted = refusal.reason == refusal_reason::RefusalReason::BackendFailed;
         if !exhausted || self.tried.is_empty() {
             return Err(self.with_run_state(refusal));
         }
@@ -225,7 +229,7 @@
     ) -> Result<(), error_body::RequestRefusal> {
         let Some(attempt) = self.attempt.take() else { return Ok(()) };
         self.node.note_failure(&attempt.dispatch, &error);
-        self.may_retry(error, &attempt.dispatch)?;
+        self.may_retry(error)?;
         let offset = attempt.stream.next_offset();
         let name = attempt.dispatch.row.name.clone();
         drop(attempt.stream);
@@ -237,7 +241,7 @@
                     self.attempt = Some(attempt);
                     return Ok(());
                 }
-                Err((error, dispatch)) => self.may_retry(error, &dispatch)?,
+                Err((error, _)) => self.may_retry(error)?,
             }
         }
         self.tried.push(name);
@@ -251,7 +255,6 @@
     fn may_retry(
         &mut self,
         error: engine_client::AttemptError,
-        dispatch: &node_dispatch::DispatchGuard,
     ) -> Result<(), error_body::RequestRefusal> {
         self.may_have_run |= error.ran == error_body::RunState::Unknown;
         let reason = error.reason;
@@ -260,15 +263,34 @@
             (error_body::RunState::Unknown, false) => retry_budget::SendProgress::MaybeSent,
             (error_body::RunState::Unknown, true) => retry_budget::SendProgress::AnswerStarted,
         };
-        let (customer, replica) = (&self.job.customer.name, &dispatch.row.name);
-        let allowed = self.node.retry_allowed(customer, replica, reason, progress, self.attempts);
-        let message = error.to_string();
+        let verdict = retry_budget::verdict(error.reason, true, progress, self.attempts);
         self.last_error = Some(error);
-        if allowed {
-            metrics::counter!("yuccareel_retries_total", "reason" => reason.code()).increment(1);
-            return Ok(());
+        self.must_pay = verdict == retry_budget::RetryVerdict::RetryPaid;
+        if verdict == retry_budget::RetryVerdict::Never {
+            return Err(self.failure());
+        }
+        metrics::counter!("yuccareel_retries_total", "reason" => reason.code()).increment(1);
+        Ok(())
+    }
+
+    /// Pays for a retry at the replica that it goes to.
+    fn pay_for(
+        &mut self,
+        dispatch: &node_dispatch::DispatchGuard,
+    ) -> Result<(), error_body::RequestRefusal> {
+        let pays = std::mem::take(&mut self.must_pay);
+        if pays && !self.node.take_retry(&self.job.customer.name, &dispatch.row.name) {
+            return Err(self.failure());
         }
-        Err(self.refusal(failure_reason(reason, self.tokens > 0), &message))
+        Ok(())
+    }
+
+    /// Refusal after the last failed attempt.
+    fn failure(&self) -> error_body::RequestRefusal {
+        let Some(error) = &self.last_error else {
+            return self.refusal(refusal_reason::RefusalReason::BackendFailed, "no attempt left");
+        };
+        self.refusal(failure_reason(error.reason, self.tokens > 0), &error.to_string())
     }
 
     fn refusal(
--- a/src/node_claims.rs
+++ b/src/node_claims.rs
@@ -20,6 +20,8 @@
 const CLAIM_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a claim is tried while the shard has no owner.
 const CLAIM_TIME: Duration = Duration::from_secs(5);
+/// Time between two looks for answers whose shards this node lost.
+const ORPHAN_INTERVAL: Duration = Duration::from_secs(1);
 /// Tries to tell the owner how a call ended.
 const FINISH_TRIES: u32 = 20;
 
@@ -36,7 +38,28 @@
     /// Owns shards and stores claims until the node stops.
     pub async fn run_claims(self: Arc<Self>) {
         let claims = Arc::clone(&self.claims);
-        claims.run(self.stopped.clone()).await;
+        let owning = claims.run(self.stopped.clone());
+        let passing = async {
+            loop {
+                tokio::select! {
+                    () = self.stopped.cancelled() => return,
+                    () = tokio::time::sleep(ORPHAN_INTERVAL) => self.pass_orphans(),
+                }
+            }
+        };
+        tokio::join!(owning, passing);
+        self.pass_orphans();
+    }
+
+    /// Passes answers of calls whose shards this node lost, to their new owners.
+    fn pass_orphans(self: &Arc<Self>) {
+        for orphan in self.claims.take_orphans() {
+            self.end_call(peer_message::FinishRequest {
+                key: orphan.key,
+                request: orphan.request,
+                answer: Some(orphan.answer),
+            });
+        }
     }
 
     /// Tells the claim store which processes live.
@@ -158,11 +181,11 @@
     }
 
     /// Tells the owner how a call ended, until the owner has it or the tries are used up.
-    pub fn end_call(self: &Arc<Self>, orphan: claim_table::ClaimOrphan) {
+    pub fn end_call(self: &Arc<Self>, finish: peer_message::FinishRequest) {
         let node = Arc::clone(self);
         tokio::spawn(async move {
             for _ in 0..FINISH_TRIES {
-                if node.try_end(&orphan).await {
+                if node.try_end(&finish).await {
                     return;
                 }
                 tokio::time::sleep(CLAIM_PAUSE).await;
@@ -171,19 +194,28 @@
         });
     }
 
-    async fn try_end(&self, orphan: &claim_table::ClaimOrphan) -> bool {
-        let owner = match self.claims.end(orphan.clone()) {
+    async fn try_end(&self, finish: &peer_message::FinishRequest) -> bool {
+        let owner = match self.end_here(finish.clone()) {
             Ok(()) | Err(claim_table::ClaimEndError::NotHeld) => return true,
             Err(claim_table::ClaimEndError::Loading) => return false,
             Err(claim_table::ClaimEndError::NotOwner(owner)) => owner,
         };
         let Some(owner) = owner.filter(|owner| *owner != self.process) else { return false };
         let Some(peer) = self.peer_address(bill_batch::instance_name(&owner)) else { return false };
-        let finish = peer_message::FinishRequest {
-            key: orphan.key,
-            request: orphan.request,
-            answer: orphan.answer.clone(),
-        };
-        self.peers.finish_claim(peer, node_config::SPREAD_LIMIT, &finish).await.is_ok()
+        self.peers.finish_claim(peer, node_config::SPREAD_LIMIT, finish).await.is_ok()
+    }
+
+    /// Ends a call as owner of its shard.
+    ///
+    /// # Errors
+    /// When this node does not own the shard or the request does not hold the key.
+    pub fn end_here(
+        &self,
+        finish: peer_message::FinishRequest,
+    ) -> Result<(), claim_table::ClaimEndError> {
+        match finish.answer {
+            Some(answer) => self.claims.finish(finish.key, finish.request, answer),
+            None => self.claims.abandon(finish.key, finish.request),
+        }
     }
 }
--- a/src/node_dispatch.rs
+++ b/src/node_dispatch.rs
@@ -10,7 +10,7 @@
 use crate::refusal_reason::RefusalReason;
 use crate::{
     admission_queue, chat_job, error_body, ids, node, pool_queue, prefix_index, quota_lease,
-    quota_message, replica_table, retry_budget, retry_reason, route_decision,
+    quota_message, replica_table, route_decision,
 };
 
 /// Time between two looks at the queues without a wake-up.
@@ -298,26 +298,13 @@
         Err(error_body::RequestRefusal::unknown(reason, "answer could not be resumed"))
     }
 
-    /// Whether the retry rules and budgets allow another attempt.
-    pub fn retry_allowed(
-        &self,
-        customer: &ids::CustomerName,
-        replica: &ids::ReplicaName,
-        reason: retry_reason::RetryReason,
-        progress: retry_budget::SendProgress,
-        attempts: u32,
-    ) -> bool {
-        match retry_budget::verdict(reason, true, progress, attempts) {
-            retry_budget::RetryVerdict::RetryFree | retry_budget::RetryVerdict::Resume => true,
-            retry_budget::RetryVerdict::Never => false,
-            retry_budget::RetryVerdict::RetryPaid => {
-                let allowed = self.retries.lock().take(customer, replica);
-                if !allowed {
-                    metrics::counter!("yuccareel_retries_denied_total").increment(1);
-                }
-                allowed
-            }
+    /// Takes a retry from the budgets of a customer and of the replica that it goes to.
+    pub fn take_retry(&self, customer: &ids::CustomerName, replica: &ids::ReplicaName) -> bool {
+        let allowed = self.retries.lock().take(customer, replica);
+        if !allowed {
+            metrics::counter!("yuccareel_retries_denied_total").increment(1);
         }
+        allowed
     }
 }
 
--- a/src/node_handler.rs
+++ b/src/node_handler.rs
@@ -114,12 +114,7 @@
     }
 
     fn finish_claim(&self, request: peer_message::FinishRequest) -> Answer<()> {
-        let orphan = claim_table::ClaimOrphan {
-            key: request.key,
-            request: request.request,
-            answer: request.answer,
-        };
-        let ended = self.node.claims.end(orphan);
+        let ended = self.node.end_here(request);
         async move {
             match ended {
                 Ok(()) | Err(claim_table::ClaimEndError::NotHeld) => Ok(()),
--- a/src/node_versions.rs
+++ b/src/node_versions.rs
@@ -36,7 +36,9 @@
         let mut worst = RefusalReason::ModelNotAllowed;
         for name in models {
             let Some(model) = snapshot.models.get(&name) else { continue };
-            if !job.customer.allows_model(&name) {
+            let allowed =
+                |version: &&records::model::ModelVersion| job.customer.allows(&name, &version.name);
+            if !model.versions.iter().any(|version| allowed(&version)) {
                 continue;
             }
             if usable_version(model, job).is_none() {
--- a/src/record_check.rs
+++ b/src/record_check.rs
@@ -164,7 +164,12 @@
         let default = &record.default_version;
         let fault = match record.version_state(default) {
             Some(VersionState::Active) => None,
-            Some(VersionState::Withdrawn) => Some((RecordFault::Contradiction, "is withdrawn")),
+            // Without another version the withdrawal of the default has to be possible.
+            Some(VersionState::Withdrawn) => record
+                .versions
+                .iter()
+                .any(|version| version.state == VersionState::Active)
+                .then_some((RecordFault::Contradiction, "is withdrawn")),
             None => Some((RecordFault::UnknownReference, "is not listed in `versions`")),
         };
         if let Some((fault, what)) = fault {
--- a/src/service_flow.rs
+++ b/src/service_flow.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    admission_queue, claim_record, claim_table, error_body, ids, node, node_claims, node_dispatch,
+    admission_queue, claim_record, error_body, ids, node, node_claims, node_dispatch, peer_message,
     records, refusal_reason, replica_table, retry_budget, retry_reason,
 };
 
@@ -73,7 +73,9 @@
     call: &ServiceCall,
 ) -> Result<ServiceReply, error_body::RequestRefusal> {
     let mut tried = node_dispatch::TriedReplicas::new();
+    let mut last: Option<error_body::RequestRefusal> = None;
     let mut may_have_run = false;
+    let mut must_pay = false;
     loop {
         let dispatched = dispatch(node, call, &tried).await;
         let dispatch = dispatched.map_err(|refusal| after_attempts(refusal, may_have_run))?;
@@ -81,6 +83,9 @@
         if tried.is_empty() {
             node.retries.lock().record_first(&call.customer.name, &replica);
         }
+        if must_pay && !node.take_retry(&call.customer.name, &replica) {
+            return Err(after_attempts(last.unwrap_or_else(no_attempt), may_have_run));
+        }
         let refusal = match send(node, call, &dispatch).await {
             Ok(reply) => {
                 node.note_success(&dispatch);
@@ -88,22 +93,38 @@
             }
             Err(refusal) => refusal,
         };
-        let not_run = refusal.ran == error_body::RunState::No;
-        may_have_run |= !not_run;
-        let (reason, progress) = if not_run {
+        may_have_run |= refusal.ran == error_body::RunState::Unknown;
+        let (reason, progress) = failure_kind(&refusal);
+        tried.push(replica);
+        match retry_budget::verdict(reason, true, progress, tried.len() as u32) {
+            retry_budget::RetryVerdict::Never => {
+                return Err(after_attempts(refusal, may_have_run));
+            }
+            verdict => must_pay = verdict == retry_budget::RetryVerdict::RetryPaid,
+        }
+        metrics::counter!("yuccareel_retries_total", "reason" => reason.code()).increment(1);
+        last = Some(refusal);
+    }
+}
+
+fn failure_kind(
+    refusal: &error_body::RequestRefusal,
+) -> (retry_reason::RetryReason, retry_budget::SendProgress) {
+    match refusal.ran {
+        error_body::RunState::No => {
             (retry_reason::RetryReason::ConnectFailed, retry_budget::SendProgress::NotSent)
-        } else {
+        }
+        error_body::RunState::Unknown => {
             (retry_reason::RetryReason::BackendError, retry_budget::SendProgress::MaybeSent)
-        };
-        let attempts = tried.len() as u32 + 1;
-        if !node.retry_allowed(&call.customer.name, &replica, reason, progress, attempts) {
-            return Err(after_attempts(refusal, may_have_run));
         }
-        metrics::counter!("yuccareel_retries_total", "reason" => reason.code()).increment(1);
-        tried.push(replica);
     }
 }
 
+fn no_attempt() -> error_body::RequestRefusal {
+    let reason = refusal_reason::RefusalReason::BackendFailed;
+    error_body::RequestRefusal::not_run(reason, "no attempt left")
+}
+
 /// A refusal after an attempt that may have run never says that nothing ran.
 fn after_attempts(
     refusal: error_body::RequestRefusal,
@@ -201,7 +222,7 @@
     fn end(&mut self, answer: Option<claim_record::ClaimAnswer>) {
         self.ended = true;
         let (key, request) = (self.key, self.request);
-        self.node.end_call(claim_table::ClaimOrphan { key, request, answer });
+        self.node.end_call(peer_message::FinishRequest { key, request, answer });
     }
 }
 
--- a/tests/request_faults.rs
+++ b/tests/request_faults.rs
@@ -90,13 +90,18 @@
     for case in &cases {
         for stream in [false, true] {
             let path = whole_path::start().await;
+            // Both replicas fail once, which takes two retries; twenty answers earn two.
+            for _ in 0..20 {
+                assert_eq!(ask(&path, false).await.status, 200, "{}", case.name);
+            }
             for placed in &path.platform.engines {
                 *placed.engine.faults.lock() = case.faults.clone();
             }
             let reply = ask(&path, stream).await;
             match case.outcome {
                 Outcome::Whole => {
-                    assert_eq!(reply.text, WHOLE_TEXT, "{} stream={stream}", case.name);
+                    let error = &reply.error;
+                    assert_eq!(reply.text, WHOLE_TEXT, "{} stream={stream} {error:?}", case.name);
                     assert!(reply.done, "{} stream={stream}", case.name);
                 }
                 Outcome::Error(code) => {
--- a/tests/whole_path/mod.rs
+++ b/tests/whole_path/mod.rs
@@ -43,7 +43,7 @@
             puts: puts.into_iter().map(located).collect(),
             removals: Vec::new(),
         };
-        let outcome = store.apply(Arc::new(snapshot), &apply).await.unwrap();
+        let outcome = store.apply(Arc::new(snapshot), &apply, &|| Ok(())).await.unwrap();
         let sequence = outcome.sequence();
         self.wait(|node| node.snapshot.load().sequence >= sequence && node.ready()).await;
         self.wait(|node| !node.replicas.load().rows().is_empty()).await;
