Free replaced shares, cover slow spread of member changes, test home and limits

A lease lives for two renewals, so each replaced share ended just before the node confirmed its successor and was then counted as unreported use: 8 nodes shared 51 of 64 and single units stopped rotating. Ended leases are now voided by the same confirmation as running ones; 8 nodes share 64.

A node that had not yet learned of a new home could be cut off and grant for 8 s more, past the settling time. Replica settling is now one spread of the change (2 rounds of 1 s up to 16 nodes), 6 s of isolation and one lease: 10 s as before in small groups, 14 s at 1,300 nodes.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod endpoint_answer;
 pub mod error_body;
 pub mod fair_lane;
+pub mod home_row;
 pub mod ids;
 pub mod instance_list;
 pub mod kv_client;
--- a/src/quota_home.rs
+++ b/src/quota_home.rs
@@ -10,16 +10,16 @@
 
 use crate::quota_message::{GrantOutcome, ResourceKey, ResourceKind};
 use crate::{
-    cold_start, config_snapshot, ids, quota_message, quota_row, rendezvous, replica_table,
-    route_decision,
+    cold_start, config_snapshot, home_row, ids, quota_message, quota_row, rendezvous,
+    replica_table, route_decision,
 };
 
 /// Gap between two calls above which the home settles again.
 ///
 /// Others declare a silent node dead only after 10 s, so a shorter gap cost it no role.
 const MAX_GAP: Duration = Duration::from_secs(3);
-/// Time for which former member lists are kept: the longest settling time.
-const VIEWS_KEPT: Duration = Duration::from_secs(10);
+/// Time for which former member lists are kept: the settling time at 1 million nodes.
+const VIEWS_KEPT: Duration = Duration::from_secs(18);
 
 /// Configuration and replicas from which quantities follow.
 #[derive(Clone, Copy, Debug)]
@@ -35,7 +35,7 @@
 pub struct QuotaHome {
     node: ids::InstanceName,
     views: VecDeque<MemberView>,
-    rows: HashMap<ResourceKey, HomeRow>,
+    rows: HashMap<ResourceKey, home_row::HomeRow>,
     last_call: Duration,
     resumed_at: Duration,
     stopped: bool,
@@ -48,23 +48,6 @@
     members: Vec<ids::InstanceName>,
 }
 
-#[derive(Debug)]
-struct HomeRow {
-    shares: quota_row::QuotaRow,
-    warmup: Option<cold_start::WarmupState>,
-    epoch: u64,
-    role_since: Option<Duration>,
-    handover: Option<RowHandover>,
-    /// Whether it has granted since it took the role or resumed.
-    granting: bool,
-}
-
-#[derive(Debug)]
-struct RowHandover {
-    from: ids::InstanceName,
-    at: Duration,
-}
-
 impl QuotaHome {
     /// Home without shares; `incarnation` grows with each start under the same name.
     pub fn new(node: ids::InstanceName, incarnation: u64, now: Duration) -> Self {
@@ -115,6 +98,7 @@
             // Signs of cold replicas may have been missed.
             for row in self.rows.values_mut() {
                 row.forget_warmup(&mut self.next_epoch);
+                row.handover = None;
             }
         }
         self.last_call = now;
@@ -154,6 +138,7 @@
         now: Duration,
     ) -> GrantOutcome {
         let (stopped, resumed_at) = (self.stopped, self.resumed_at);
+        let members = self.views.back().map_or(0, |view| view.members.len());
         let Some(row) = self.row(&want.resource, tables, now) else { return GrantOutcome::NoHome };
         if row.role_since.is_none() {
             return GrantOutcome::NoHome;
@@ -167,7 +152,7 @@
             let answers = u32::try_from(grown).unwrap_or(u32::MAX);
             warmup.apply(cold_start::WarmupSign::Answers(answers), now);
         }
-        if stopped || !may_grant || !row.ready(want.resource.kind, resumed_at, now) {
+        if stopped || !may_grant || !row.ready(want.resource.kind, members, resumed_at, now) {
             row.granting = false;
             return GrantOutcome::NoHome;
         }
@@ -227,7 +212,7 @@
         let Some(view) = self.views.back() else { return handovers };
         let others: Vec<_> = view.members.iter().filter(|name| **name != self.node).collect();
         for (resource, row) in &mut self.rows {
-            if !row.ready(resource.kind, self.resumed_at, now) {
+            if !row.ready(resource.kind, view.members.len(), self.resumed_at, now) {
                 continue;
             }
             let members = others.iter().copied();
@@ -254,7 +239,7 @@
         for handover in handovers {
             let Some(row) = self.row(&handover.resource, tables, now) else { continue };
             row.shares.accept_shares(&handover.shares, now);
-            row.handover = Some(RowHandover { from: from.clone(), at: now });
+            row.handover = Some(home_row::RowHandover { from: from.clone(), at: now });
             if let (Some(warmup), Some(handed)) = (&mut row.warmup, &handover.warmup) {
                 warmup.restore(handed.limit, handed.boot.clone());
                 row.epoch = handed.epoch;
@@ -283,7 +268,7 @@
         resource: &ResourceKey,
         tables: QuotaTables<'_>,
         now: Duration,
-    ) -> Option<&mut HomeRow> {
+    ) -> Option<&mut home_row::HomeRow> {
         let bounds = match resource.kind {
             ResourceKind::ReplicaConcurrency => {
                 let row = tables.table.find(&resource.name)?;
@@ -298,12 +283,18 @@
         };
         if !self.rows.contains_key(resource) {
             let role_since = role_since(&self.views, &self.node, resource);
-            let warmup = bounds.map(|bounds| first_state(bounds, resource, tables, now));
+            let warmup = bounds.map(|bounds| home_row::first_state(bounds, resource, tables, now));
             let epoch = self.next_epoch;
             self.next_epoch = epoch.wrapping_add(1);
             let shares = quota_row::QuotaRow::new(resource.kind);
-            let row =
-                HomeRow { shares, warmup, epoch, role_since, handover: None, granting: false };
+            let row = home_row::HomeRow {
+                shares,
+                warmup,
+                epoch,
+                role_since,
+                handover: None,
+                granting: false,
+            };
             self.rows.insert(resource.clone(), row);
         }
         let row = self.rows.get_mut(resource)?;
@@ -314,82 +305,6 @@
     }
 }
 
-impl HomeRow {
-    /// Whether no share of a former home can be out.
-    fn ready(&self, kind: ResourceKind, resumed_at: Duration, now: Duration) -> bool {
-        let Some(since) = self.role_since else { return false };
-        let handed = self.handover.as_ref().is_some_and(|handover| {
-            // A handover read soon after a pause may have waited in a buffer meanwhile.
-            resumed_at + quota_message::SHARE_LEASE <= handover.at
-                && since <= handover.at + kind.settling()
-        });
-        handed || now >= since.max(resumed_at) + kind.settling()
-    }
-
-    fn forget_warmup(&mut self, next_epoch: &mut u64) {
-        if let Some(warmup) = &mut self.warmup {
-            warmup.forget();
-            self.epoch = *next_epoch;
-            *next_epoch = next_epoch.wrapping_add(1);
-        }
-    }
-
-    /// Counts what a load report shows of nodes that have not reported to this home.
-    fn start_granting(&mut self, resource: &ResourceKey, tables: QuotaTables<'_>, now: Duration) {
-        if std::mem::replace(&mut self.granting, true) || self.handover.is_some() {
-            return;
-        }
-        let cold = self.warmup.as_ref().is_some_and(cold_start::WarmupState::cold);
-        let report = tables.table.find(&resource.name).and_then(|row| row.report.as_ref());
-        if let Some(report) = report.filter(|report| cold && recent(report, now)) {
-            self.shares.assume_unattributed(u64::from(report.requests), now);
-        }
-    }
-
-    /// Whole quantity, and whether it is that of a cold replica.
-    fn quantity(&self, resource: &ResourceKey, tables: QuotaTables<'_>) -> (u64, bool) {
-        if let Some(warmup) = &self.warmup {
-            return (u64::from(warmup.limit()), warmup.cold());
-        }
-        let customer = tables.snapshot.customers.get(&resource.name);
-        let quantity = customer.map_or(0, |customer| match resource.kind {
-            ResourceKind::CustomerRate => (customer.limits.requests_per_s * 1_000.0) as u64,
-            ResourceKind::CustomerConcurrency => u64::from(customer.limits.concurrency),
-            ResourceKind::CustomerSpend => customer.limits.spend_per_day,
-            ResourceKind::ReplicaConcurrency => 0,
-        });
-        (quantity, false)
-    }
-
-    fn handed_warmup(&self) -> Option<quota_message::HandedWarmup> {
-        self.warmup.as_ref().map(|warmup| quota_message::HandedWarmup {
-            limit: warmup.limit(),
-            boot: warmup.boot().cloned(),
-            epoch: self.epoch,
-        })
-    }
-}
-
-fn recent(report: &replica_table::LoadReport, now: Duration) -> bool {
-    now < report.received_at + cold_start::REPORT_LAG
-}
-
-/// State of a replica at its first use: cold, unless a report says otherwise.
-fn first_state(
-    bounds: cold_start::WarmupBounds,
-    resource: &ResourceKey,
-    tables: QuotaTables<'_>,
-    now: Duration,
-) -> cold_start::WarmupState {
-    let mut state = cold_start::WarmupState::new(bounds);
-    let report = tables.table.find(&resource.name).and_then(|row| row.report.as_ref());
-    if let Some(report) = report.filter(|report| recent(report, now)) {
-        let sign = cold_start::WarmupSign::Report { boot: report.boot.clone(), cold: report.cold };
-        state.apply(sign, now);
-    }
-    state
-}
-
 /// Time since which a node is the home without interruption, in its own view.
 fn role_since(
     views: &VecDeque<MemberView>,
--- a/src/quota_message.rs
+++ b/src/quota_message.rs
@@ -12,6 +12,19 @@
 /// Time for which a share is leased.
 pub const SHARE_LEASE: Duration = Duration::from_secs(2);
 
+/// Time after its last contact at which a node is isolated at the latest.
+const ISOLATION: Duration = Duration::from_secs(6);
+/// Time of one heartbeat round.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+/// Nodes that learn of a change from one node in a round, itself included.
+const SPREAD: usize = 4;
+
+/// Time in which a change of members reaches all nodes, at least 2 rounds.
+fn spread_time(members: usize) -> Duration {
+    let rounds = (members.max(2) - 1).ilog(SPREAD) + 1;
+    HEARTBEAT * rounds.max(2)
+}
+
 /// Limited quantity that is shared out.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ResourceKey {
@@ -53,13 +66,14 @@
         }
     }
 
-    /// Time for which a new home grants nothing.
+    /// Time for which a new home among `members` nodes grants nothing.
     ///
-    /// Shares of a former home that is cut off live until it is isolated (6 s) and one lease
-    /// longer (2 s). Customer limits tolerate an overlap and wait for one lease only.
-    pub fn settling(self) -> Duration {
+    /// A former home may learn of the change only after all heartbeat rounds, be cut off just
+    /// before, grant until it is isolated (6 s), and its shares end one lease later (2 s). That
+    /// makes 10 s up to 16 nodes. Customer limits tolerate an overlap and wait for one lease.
+    pub fn settling(self, members: usize) -> Duration {
         match self {
-            Self::ReplicaConcurrency => Duration::from_secs(10),
+            Self::ReplicaConcurrency => ISOLATION + SHARE_LEASE + spread_time(members),
             Self::CustomerRate | Self::CustomerConcurrency | Self::CustomerSpend => SHARE_LEASE,
         }
     }
--- a/src/quota_row.rs
+++ b/src/quota_row.rs
@@ -15,6 +15,12 @@
 const STALE_MAX: Duration = Duration::from_secs(600);
 /// Time after its last request for which a node's demand counts in the division.
 const DEMAND_KEPT: Duration = Duration::from_secs(4);
+/// Ended leases counted separately; more are merged.
+const MAX_STALE: usize = 4;
+/// Part of the rest that a first share may take: with a quarter, 8 nodes all get one of 64.
+const FIRST_PART: u64 = 4;
+/// Part of the rest by which a share may grow.
+const GROWTH_PART: u64 = 2;
 /// Time for which a node keeps its only unit while others wait for one.
 const ROTATION: Duration = Duration::from_secs(4);
 
@@ -39,7 +45,7 @@
     held_since: Option<Duration>,
     last_held: Duration,
     grants: SmallVec<[LeasedGrant; 3]>,
-    stale: Option<StaleUse>,
+    stale: SmallVec<[StaleUse; 2]>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -52,6 +58,7 @@
 /// Use that may go on after the lease ended without a word from the node.
 #[derive(Clone, Copy, Debug)]
 struct StaleUse {
+    number: u64,
     amount: u64,
     since: Duration,
     /// First reply after the lease ended; a request that follows it reports the use.
@@ -66,30 +73,37 @@
         if !kind.outlives_lease() {
             return leased;
         }
-        leased.max(self.in_use).max(self.stale.map_or(0, |stale| stale.amount))
+        leased.max(self.in_use).max(self.stale_amount())
+    }
+
+    fn stale_amount(&self) -> u64 {
+        self.stale.iter().map(|stale| stale.amount).max().unwrap_or(0)
     }
 
     fn expire(&mut self, kind: quota_message::ResourceKind, now: Duration) {
-        let ended = self.grants.iter().filter(|grant| now >= grant.expires_at);
-        let ended = ended.map(|grant| grant.amount).max();
+        let ended = self.grants.iter().copied().filter(|grant| now >= grant.expires_at);
+        let ended: SmallVec<[LeasedGrant; 3]> = ended.collect();
         self.grants.retain(|grant| now < grant.expires_at);
-        if let Some(amount) = ended.filter(|_| kind.outlives_lease()) {
-            self.add_stale(amount, now, false);
+        for grant in ended.into_iter().filter(|_| kind.outlives_lease()) {
+            self.add_stale(grant.number, grant.amount, now, false);
         }
-        if self.stale.is_some_and(|stale| now >= stale.since + STALE_MAX) {
-            self.stale = None;
+        if self.stale.iter().any(|stale| now >= stale.since + STALE_MAX) {
+            self.stale.retain(|stale| now < stale.since + STALE_MAX);
             self.in_use = 0;
         }
     }
 
-    fn add_stale(&mut self, amount: u64, now: Duration, orphan: bool) {
-        let former = self.stale.map_or((0, false), |stale| (stale.amount, stale.orphan));
-        self.stale = Some(StaleUse {
-            amount: amount.max(former.0),
-            since: now,
-            reported_by: None,
-            orphan: orphan || former.1,
-        });
+    fn add_stale(&mut self, number: u64, amount: u64, now: Duration, orphan: bool) {
+        let mut added = StaleUse { number, amount, since: now, reported_by: None, orphan };
+        if self.stale.len() == MAX_STALE {
+            // Merged entries end when the last of them does, which is never too early.
+            for former in self.stale.drain(..) {
+                added.number = added.number.max(former.number);
+                added.amount = added.amount.max(former.amount);
+                added.orphan |= former.orphan;
+            }
+        }
+        self.stale.push(added);
     }
 
     fn idle(&self, kind: quota_message::ResourceKind) -> bool {
@@ -146,7 +160,8 @@
         }
         if request.incarnation > share.incarnation {
             let former = share.outstanding(self.kind);
-            let (grants, stale) = (std::mem::take(&mut share.grants), share.stale);
+            let grants = std::mem::take(&mut share.grants);
+            let stale = std::mem::take(&mut share.stale);
             *share = NodeShare {
                 incarnation: request.incarnation,
                 grants,
@@ -154,7 +169,7 @@
                 ..NodeShare::default()
             };
             if former > 0 && self.kind.outlives_lease() {
-                share.add_stale(former, now, true);
+                share.add_stale(u64::MAX, former, now, true);
             }
         }
         if request.number <= share.last_number {
@@ -174,7 +189,7 @@
         let Some(share) = self.shares.get(node) else { return 0 };
         let amount = self.amount(node, share, quantity, now);
         let Some(share) = self.shares.get_mut(node) else { return 0 };
-        if let Some(stale) = &mut share.stale {
+        for stale in &mut share.stale {
             stale.reported_by.get_or_insert(number);
         }
         let expires_at = now + quota_message::SHARE_LEASE;
@@ -189,7 +204,7 @@
         amount
     }
 
-    /// Share by demand, within what the others leave, growing by half of the rest.
+    /// Share by demand, within what the others leave, growing by a part of the rest.
     fn amount(&self, node: &str, own: &NodeShare, quantity: u64, now: Duration) -> u64 {
         let quantity = quantity.saturating_sub(self.spent(own.period));
         let others = self.shares.iter().filter(|(name, _)| &***name != node);
@@ -200,8 +215,9 @@
         let target = divide(quantity, own.wanted, demand.saturating_add(own.wanted));
         if target > 0 {
             let current = own.grants.last().map_or(0, |grant| grant.amount).min(free);
-            // Half of the rest at a time leaves first shares for nodes that have not asked yet.
-            let growth = current + (free - current).div_ceil(2);
+            // A part of the rest at a time leaves first shares for nodes that ask a moment later.
+            let part = if current == 0 { FIRST_PART } else { GROWTH_PART };
+            let growth = current + (free - current).div_ceil(part);
             return target.min(growth);
         }
         let waiting = asking.filter(|(_, share)| {
@@ -224,14 +240,15 @@
 
     /// Drops the use of nodes that are gone; what they may have spent stays spent.
     pub fn forget_gone(&mut self, live: impl Fn(&str) -> bool) {
-        let occupied = |share: &NodeShare| share.in_use > 0 || share.stale.is_some();
+        let occupied = |share: &NodeShare| share.in_use > 0 || !share.stale.is_empty();
         let shares = self.shares.iter_mut();
         for (_, share) in shares.filter(|(name, share)| occupied(share) && !live(name)) {
-            let lost = share.in_use.max(share.stale.map_or(0, |stale| stale.amount));
+            let lost = share.in_use.max(share.stale_amount());
             if self.kind == quota_message::ResourceKind::CustomerSpend {
                 share.used += lost;
             }
-            (share.in_use, share.stale) = (0, None);
+            share.in_use = 0;
+            share.stale.clear();
         }
     }
 
@@ -239,11 +256,15 @@
     pub fn limit_stale(&mut self, requests: u64, lag: Duration, received_at: Duration) {
         self.unattributed = self.unattributed.min(requests);
         for share in self.shares.values_mut() {
-            if let Some(stale) = share.stale.filter(|stale| received_at >= stale.since + lag) {
+            let newer = |stale: &StaleUse| received_at >= stale.since + lag;
+            if share.stale.iter().any(newer) {
                 share.in_use = share.in_use.min(requests);
-                let amount = stale.amount.min(requests);
-                share.stale = (amount > 0).then_some(StaleUse { amount, ..stale });
             }
+            for stale in share.stale.iter_mut().filter(|stale| newer(stale)) {
+                stale.amount = stale.amount.min(requests);
+            }
+            let in_use = share.in_use;
+            share.stale.retain(|stale| stale.amount > 0 || in_use > 0);
         }
     }
 
@@ -279,15 +300,15 @@
 fn confirm(share: &mut NodeShare, applied: u64) {
     // Only an exact match proves that the node replaced the earlier shares: the applied reply
     // may have been about other resources.
-    if share.grants.iter().any(|grant| grant.number == applied) {
+    let numbers = share.grants.iter().map(|grant| grant.number);
+    let mut numbers = numbers.chain(share.stale.iter().map(|stale| stale.number));
+    if numbers.any(|number| number == applied) {
         share.grants.retain(|grant| grant.number >= applied);
+        share.stale.retain(|stale| stale.orphan || stale.number >= applied);
     }
-    let reported = share.stale.is_some_and(|stale| {
-        !stale.orphan && stale.reported_by.is_some_and(|number| applied >= number)
-    });
-    if reported {
-        share.stale = None;
-    }
+    share
+        .stale
+        .retain(|stale| stale.orphan || stale.reported_by.is_none_or(|number| applied < number));
 }
 
 /// Part of a quantity by demand; all that is wanted when there is enough.
--- /dev/null
+++ b/tests/customer_limits.rs
@@ -0,0 +1,149 @@
+//! Rate, concurrency and spend of a customer at one node.
+
+mod fixtures;
+
+use std::time::Duration;
+
+use fixtures::{customer, ms, shares};
+use yuccareel::customer_limits::{CustomerLimitTable, LimitOutcome};
+use yuccareel::quota_lease::{ShareState, ShareTable};
+use yuccareel::quota_message::{GrantOutcome, ResourceKind, ShareGrant, ShareReply};
+use yuccareel::records::RoutingRecord;
+use yuccareel::records::customer::CustomerRecord;
+use yuccareel::refusal_reason::RefusalReason;
+
+fn record() -> CustomerRecord {
+    match customer("c", 1, 8.0, 8) {
+        RoutingRecord::Customer(record) => record,
+        _ => unreachable!("the fixture is a customer"),
+    }
+}
+
+/// Exchanges all wanted shares with a home that grants `amounts` by kind.
+fn exchange(shares: &mut ShareTable, amounts: &dyn Fn(ResourceKind) -> Option<u64>, now: Duration) {
+    for (home, request) in shares.requests(now, &["home".into()]) {
+        let grants = request.wants.iter().map(|want| {
+            let amount = amounts(want.resource.kind);
+            let outcome = amount.map_or(GrantOutcome::NoHome, |amount| GrantOutcome::Leased {
+                amount,
+                quantity: amount,
+                cold: false,
+                epoch: 0,
+            });
+            ShareGrant { resource: want.resource.clone(), outcome }
+        });
+        let reply = ShareReply { number: request.number, grants: grants.collect() };
+        shares.apply(&home, &reply);
+    }
+}
+
+/// Guards against requests over a share, and against refusals below it.
+#[test]
+fn shares_bound_requests() {
+    struct Case {
+        name: &'static str,
+        rate: Option<u64>,
+        concurrency: Option<u64>,
+        spend: Option<u64>,
+        admitted: u32,
+        reason: RefusalReason,
+    }
+    let cases = [
+        Case {
+            name: "rate",
+            rate: Some(3_000),
+            concurrency: Some(8),
+            spend: Some(10_000),
+            admitted: 3,
+            reason: RefusalReason::RateLimited,
+        },
+        Case {
+            name: "concurrency",
+            rate: Some(8_000),
+            concurrency: Some(2),
+            spend: Some(10_000),
+            admitted: 2,
+            reason: RefusalReason::ConcurrencyLimited,
+        },
+        Case {
+            name: "spend",
+            rate: Some(8_000),
+            concurrency: Some(8),
+            spend: Some(450),
+            admitted: 4,
+            reason: RefusalReason::SpendLimited,
+        },
+        Case {
+            name: "no share",
+            rate: Some(0),
+            concurrency: Some(8),
+            spend: Some(10_000),
+            admitted: 0,
+            reason: RefusalReason::RateLimited,
+        },
+        Case {
+            name: "floor of rate",
+            rate: None,
+            concurrency: Some(8),
+            spend: Some(10_000),
+            admitted: 4,
+            reason: RefusalReason::RateLimited,
+        },
+        Case {
+            name: "floor of concurrency",
+            rate: Some(8_000),
+            concurrency: None,
+            spend: Some(10_000),
+            admitted: 4,
+            reason: RefusalReason::ConcurrencyLimited,
+        },
+    ];
+    for case in cases {
+        let mut limits = CustomerLimitTable::default();
+        let mut shares = ShareTable::new("node".into(), 1);
+        let record = record();
+        let admit = |limits: &mut CustomerLimitTable, shares: &ShareTable, now| {
+            limits.admit(&record, 100, shares, 2, 1, now)
+        };
+        assert_eq!(admit(&mut limits, &shares, ms(0)), LimitOutcome::AwaitShare, "{}", case.name);
+        assert!(limits.state_use(&mut shares, 1, ms(0)), "{}: no exchange at once", case.name);
+        let amounts = |kind| match kind {
+            ResourceKind::CustomerRate => case.rate,
+            ResourceKind::CustomerConcurrency => case.concurrency,
+            ResourceKind::CustomerSpend => case.spend,
+            ResourceKind::ReplicaConcurrency => None,
+        };
+        exchange(&mut shares, &amounts, ms(0));
+        for _ in 0..case.admitted {
+            assert_eq!(admit(&mut limits, &shares, ms(1)), LimitOutcome::Admitted, "{}", case.name);
+        }
+        let refused = LimitOutcome::Refused(case.reason);
+        assert_eq!(admit(&mut limits, &shares, ms(1)), refused, "{}", case.name);
+    }
+}
+
+/// Guards against a bucket that fills beyond its rate, and against money that stays reserved.
+#[test]
+fn limits_recover() {
+    let record = record();
+    let mut limits = CustomerLimitTable::default();
+    let mut table = shares(ResourceKind::CustomerRate, &[("c", 2_000, 8_000, false)], ms(0));
+    limits.admit(&record, 100, &table, 2, 1, ms(0));
+    limits.state_use(&mut table, 1, ms(0));
+    let amounts = |kind| Some(if kind == ResourceKind::CustomerRate { 2_000 } else { 300 });
+    let mut passed = 0;
+    for step in 0..100_u64 {
+        let now = ms(step * 100);
+        limits.state_use(&mut table, 1, now);
+        exchange(&mut table, &amounts, now);
+        if limits.admit(&record, 100, &table, 2, 1, now) == LimitOutcome::Admitted {
+            passed += 1;
+            limits.finish("c", 100, 10);
+        }
+    }
+    // 2 at first, then 2 per second; every exchange grants new money.
+    assert!((20..=22).contains(&passed), "{passed} requests in 10 s");
+    let state = table.state(ResourceKind::CustomerSpend, "c", ms(9_900));
+    let ShareState::Leased { used_at_send, .. } = state else { panic!("{state:?}") };
+    assert!((190..=220).contains(&used_at_send), "{used_at_send} spent");
+}
--- /dev/null
+++ b/tests/quota_home.rs
@@ -0,0 +1,269 @@
+//! Division of a quantity, first shares, settling, handover and cold signs at the home.
+
+mod fixtures;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fixtures::{customer, model, ms, replica, report, table, version};
+use yuccareel::cold_start::WarmupSign;
+use yuccareel::config_snapshot::ConfigSnapshot;
+use yuccareel::quota_home::{QuotaHome, QuotaTables};
+use yuccareel::quota_lease::{ShareState, ShareTable, ShareUse};
+use yuccareel::quota_message::ResourceKind::{self, CustomerConcurrency, CustomerSpend};
+use yuccareel::quota_message::{GrantOutcome, ResourceKey};
+use yuccareel::replica_table::ReplicaTable;
+use yuccareel::{ids, rendezvous};
+
+const REPLICA: ResourceKind = ResourceKind::ReplicaConcurrency;
+
+struct Group {
+    snapshot: ConfigSnapshot,
+    table: ReplicaTable,
+    home: QuotaHome,
+    nodes: Vec<ShareTable>,
+    members: Vec<ids::InstanceName>,
+    now: Duration,
+}
+
+impl Group {
+    /// Nodes and the settled home of `c`, which may run 64 requests at once, as a replica 2 to 64.
+    fn new(nodes: usize, kind: ResourceKind) -> Self {
+        let members: Vec<ids::InstanceName> =
+            (0..nodes).map(|index| format!("n{index}").into()).collect();
+        let name = rendezvous::home(&ResourceKey::new(kind, "c").hash_key(), &members).unwrap();
+        let mut home = QuotaHome::new(name.clone(), 1, Duration::ZERO);
+        home.set_members(&members, Duration::ZERO);
+        let names = members.clone().into_iter();
+        let mut group = Self {
+            snapshot: ConfigSnapshot::from_records(
+                1,
+                [model("m", 2, 64), customer("c", 1, 10.0, 64)],
+            ),
+            table: table([replica("c", "dc", version("m", "v1"))]),
+            home,
+            nodes: names.map(|name| ShareTable::new(name, 1)).collect(),
+            members,
+            now: Duration::ZERO,
+        };
+        group.advance(ms(10_000));
+        group
+    }
+
+    fn advance(&mut self, time: Duration) {
+        let ends_at = self.now + time;
+        while self.now < ends_at {
+            self.now += ms(500);
+            self.home.tick(true, self.now);
+        }
+    }
+
+    fn exchange(&mut self, node: usize, kind: ResourceKind, use_now: ShareUse) -> u64 {
+        let shares = &mut self.nodes[node];
+        shares.set_use(kind, &Arc::from("c"), use_now, self.now);
+        let tables = QuotaTables { snapshot: &self.snapshot, table: &self.table };
+        for (home, request) in shares.requests(self.now, &self.members) {
+            let reply = self.home.answer(&request, tables, true, self.now);
+            shares.apply(&home, &reply);
+        }
+        shares.leased(kind, "c", self.now)
+    }
+
+    fn sign(&mut self, sign: WarmupSign) -> bool {
+        let tables = QuotaTables { snapshot: &self.snapshot, table: &self.table };
+        self.home.apply_sign(&"c".into(), sign, tables, self.now)
+    }
+}
+
+fn wants(wanted: u64) -> ShareUse {
+    ShareUse { wanted, ..ShareUse::default() }
+}
+
+/// Guards against nodes left without a share in a surge, and against a division that ignores
+/// demand once it is known.
+#[test]
+fn quantity_is_divided_by_demand() {
+    struct Case {
+        name: &'static str,
+        demand: &'static [u64],
+        first: &'static [u64],
+        settled: &'static [u64],
+    }
+    let cases = [
+        Case { name: "one node", demand: &[100], first: &[16], settled: &[64] },
+        Case { name: "little demand", demand: &[3, 5], first: &[3, 5], settled: &[3, 5] },
+        Case { name: "weights", demand: &[300, 100], first: &[16, 12], settled: &[48, 16] },
+        Case {
+            name: "surge on 8 nodes",
+            demand: &[100; 8],
+            first: &[16, 12, 9, 7, 5, 4, 3, 2],
+            settled: &[8; 8],
+        },
+    ];
+    for case in cases {
+        let mut group = Group::new(case.demand.len(), CustomerConcurrency);
+        let round = |group: &mut Group| -> Vec<u64> {
+            let demand = case.demand.iter().enumerate();
+            demand
+                .map(|(node, demand)| group.exchange(node, CustomerConcurrency, wants(*demand)))
+                .collect()
+        };
+        assert_eq!(round(&mut group), case.first, "{}", case.name);
+        let mut last = Vec::new();
+        for _ in 0..12 {
+            group.advance(ms(1_000));
+            last = round(&mut group);
+        }
+        assert_eq!(last, case.settled, "{}", case.name);
+    }
+}
+
+/// Guards against nodes that never get a unit when there are fewer units than nodes.
+#[test]
+fn single_units_rotate() {
+    let mut group = Group::new(6, REPLICA);
+    let mut held = [0; 6];
+    for _ in 0..60 {
+        group.advance(ms(1_000));
+        for (node, held) in held.iter_mut().enumerate() {
+            *held += group.exchange(node, REPLICA, wants(5));
+        }
+    }
+    assert!(held.iter().all(|held| *held >= 5), "{held:?}");
+}
+
+/// Guards against money that is granted again after a node spent it, or after the node is gone.
+#[test]
+fn spent_money_does_not_come_back() {
+    let mut group = Group::new(2, CustomerSpend);
+    let spend = |wanted, used| ShareUse { wanted, in_use: 0, used, period: 1 };
+    assert_eq!(group.exchange(0, CustomerSpend, spend(10_000, 0)), 2_500);
+    group.advance(ms(1_000));
+    assert_eq!(group.exchange(0, CustomerSpend, spend(10_000, 2_500)), 5_000);
+    // Node 0 is gone with 5,000 unreported.
+    group.advance(ms(4_000));
+    for _ in 0..20 {
+        group.exchange(1, CustomerSpend, spend(10_000, 0));
+        group.advance(ms(500));
+    }
+    assert_eq!(group.exchange(1, CustomerSpend, spend(10_000, 0)), 2_500);
+    let next_day = ShareUse { wanted: 10_000, in_use: 0, used: 0, period: 2 };
+    assert!(group.exchange(1, CustomerSpend, next_day) > 2_500);
+}
+
+/// Guards against a quantity that stays high after a cold sign, or rises by answers of before.
+#[test]
+fn cold_sign_reduces_the_quantity() {
+    let mut group = Group::new(1, REPLICA);
+    let answers = |used, period| ShareUse { wanted: 100, in_use: 0, used, period };
+    group.exchange(0, REPLICA, answers(0, 0));
+    let epoch = |group: &Group| match group.nodes[0].state(REPLICA, "c", group.now) {
+        ShareState::Leased { epoch, quantity, cold, .. } => (epoch, quantity, cold),
+        state => panic!("{state:?}"),
+    };
+    let (first, quantity, cold) = epoch(&group);
+    assert_eq!((quantity, cold), (2, true));
+    group.exchange(0, REPLICA, answers(62, first));
+    assert_eq!(epoch(&group), (first, 64, false));
+    assert!(group.sign(WarmupSign::Boot("b1".into())) || group.sign(WarmupSign::Refused));
+    group.exchange(0, REPLICA, answers(500, first));
+    let (second, quantity, cold) = epoch(&group);
+    assert_eq!((quantity, cold), (2, true));
+    assert_ne!(first, second);
+    group.exchange(0, REPLICA, answers(2, second));
+    assert_eq!(epoch(&group), (second, 4, true));
+}
+
+/// Guards against load of unheard nodes that a new home does not see, and against holding its
+/// place for longer than a report shows it.
+#[test]
+fn load_report_shows_unheard_requests() {
+    for (reported, granted) in [(0, 1), (1, 1), (2, 0)] {
+        let mut group = Group::new(1, REPLICA);
+        group.table.record_report("c", report(reported, true, "b1", group.now));
+        let use_now = wants(1);
+        assert_eq!(group.exchange(0, REPLICA, use_now), granted, "{reported} reported");
+        group.advance(ms(3_000));
+        let tables = QuotaTables { snapshot: &group.snapshot, table: &group.table };
+        let idle = report(0, true, "b1", group.now);
+        group.home.apply_report(&"c".into(), &idle, tables, group.now);
+        assert_eq!(group.exchange(0, REPLICA, use_now), 1, "{reported} reported");
+    }
+}
+
+/// Guards against a new home that grants before the former shares ended, and against a useless
+/// wait after a handover.
+#[test]
+fn new_home_settles_unless_handed_over() {
+    struct Case {
+        name: &'static str,
+        kind: ResourceKind,
+        handover: bool,
+        settles: Duration,
+    }
+    let cases = [
+        Case { name: "replica", kind: REPLICA, handover: false, settles: ms(10_000) },
+        Case { name: "customer", kind: CustomerConcurrency, handover: false, settles: ms(2_000) },
+        Case { name: "handover", kind: REPLICA, handover: true, settles: ms(0) },
+    ];
+    for case in cases {
+        let mut group = Group::new(1, case.kind);
+        let key = ResourceKey::new(case.kind, "c").hash_key();
+        let names: Vec<ids::InstanceName> = vec!["home".into(), "other".into()];
+        let first = rendezvous::home(&key, &names).unwrap().clone();
+        let second = names.iter().find(|name| **name != first).unwrap().clone();
+        let mut homes = [first.clone(), second.clone()].map(|name| {
+            let mut home = QuotaHome::new(name, 1, Duration::ZERO);
+            home.set_members(&names, Duration::ZERO);
+            home
+        });
+        let ticks = |homes: &mut [QuotaHome; 2], from: Duration, to: Duration| {
+            let mut now = from;
+            while now < to {
+                now += ms(500);
+                homes.iter_mut().for_each(|home| home.tick(true, now));
+            }
+        };
+        ticks(&mut homes, Duration::ZERO, ms(12_000));
+        let changed_at = ms(12_000);
+        let tables = QuotaTables { snapshot: &group.snapshot, table: &group.table };
+        let shares = &mut group.nodes[0];
+        shares.set_use(case.kind, &"c".into(), wants(1), changed_at);
+        for (_, request) in shares.requests(changed_at, std::slice::from_ref(&first)) {
+            shares.apply(&first, &homes[0].answer(&request, tables, true, changed_at));
+        }
+        assert_eq!(shares.leased(case.kind, "c", changed_at), 1, "{}", case.name);
+        if case.handover {
+            for (home, handovers) in homes[0].hand_over(changed_at) {
+                assert_eq!(home, second);
+                homes[1].accept_handover(&first, &handovers, tables, changed_at);
+            }
+        }
+        homes[1].set_members(std::slice::from_ref(&second), changed_at);
+        let mut granted_at = None;
+        for step in 0..30 {
+            let now = changed_at + ms(step * 500);
+            ticks(&mut homes, now.saturating_sub(ms(500)), now);
+            for (_, request) in shares.requests(now, std::slice::from_ref(&second)) {
+                let reply = homes[1].answer(&request, tables, true, now);
+                let leased = |grant: &yuccareel::quota_message::ShareGrant| {
+                    matches!(grant.outcome, GrantOutcome::Leased { amount: 1.., .. })
+                };
+                if reply.grants.iter().any(leased) {
+                    granted_at.get_or_insert(now - changed_at);
+                }
+                shares.apply(&second, &reply);
+            }
+        }
+        assert_eq!(granted_at, Some(case.settles), "{}", case.name);
+    }
+}
+
+/// Guards against a settling time that is shorter than the spread of a member change.
+#[test]
+fn settling_grows_with_the_group() {
+    for (members, seconds) in [(1, 10), (8, 10), (16, 10), (17, 11), (81, 12), (1_300, 14)] {
+        assert_eq!(REPLICA.settling(members).as_secs(), seconds, "{members} nodes");
+        assert_eq!(CustomerSpend.settling(members).as_secs(), 2);
+    }
+}
--- /dev/null
+++ b/tests/quota_world/mod.rs
@@ -0,0 +1,392 @@
+//! Pure nodes that share quantities in virtual time, with faults.
+//!
+//! Every node runs on a clock of its own. A member change reaches each connected node within
+//! 2 s, the two heartbeat rounds of a small group; a node that is cut off is isolated 6 s after
+//! its last contact, and grants under its old view until then.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{RngExt as _, SeedableRng as _};
+use smallvec::SmallVec;
+use yuccareel::quota_lease::{ShareTable, ShareUse};
+use yuccareel::quota_message::{ResourceHandover, ResourceKind, ShareReply, ShareRequest};
+use yuccareel::{config_snapshot, ids, instance_list, quota_home, records, replica_table};
+
+const STEP: Duration = Duration::from_millis(100);
+pub const STEPS: u32 = 900;
+const ISOLATED_AFTER: Duration = Duration::from_secs(6);
+const LEARNED_WITHIN_MS: u64 = 2_000;
+const DEAD_AFTER: Duration = Duration::from_secs(10);
+
+fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+#[derive(Clone, Debug)]
+pub enum Fault {
+    Kill {
+        node: usize,
+    },
+    Restart {
+        node: usize,
+    },
+    /// Two nodes reach each other but nobody else.
+    Cut {
+        nodes: [usize; 2],
+        for_ms: u64,
+    },
+    Pause {
+        node: usize,
+        for_ms: u64,
+    },
+    ShutDown {
+        node: usize,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    pub seed: u64,
+    pub nodes: usize,
+    pub limit: u32,
+    pub loss: f64,
+    pub kind: ResourceKind,
+    pub faults: BTreeMap<u32, Fault>,
+}
+
+enum Message {
+    Request(ShareRequest),
+    Reply(ids::InstanceName, ShareReply),
+    Handover(ids::InstanceName, Vec<ResourceHandover>),
+}
+
+struct Node {
+    name: ids::InstanceName,
+    offset: Duration,
+    alive: bool,
+    paused_until: Duration,
+    cut_until: Duration,
+    cut_at: Duration,
+    last_contact: Duration,
+    view: Vec<ids::InstanceName>,
+    learns_at: Duration,
+    shares: ShareTable,
+    home: quota_home::QuotaHome,
+    running: Vec<Duration>,
+}
+
+pub struct World {
+    schedule: Schedule,
+    random: rand::rngs::StdRng,
+    pub now: Duration,
+    snapshot: config_snapshot::ConfigSnapshot,
+    table: replica_table::ReplicaTable,
+    nodes: Vec<Node>,
+    members: Vec<ids::InstanceName>,
+    removals: Vec<(Duration, ids::InstanceName)>,
+    messages: Vec<(Duration, [usize; 2], Message)>,
+    resource: Arc<str>,
+}
+
+fn records(limit: u32) -> config_snapshot::ConfigSnapshot {
+    let model = records::model::ModelRecord {
+        name: "m".into(),
+        versions: Vec::new(),
+        default_version: "v".into(),
+        input_cost_per_1k: 0,
+        output_cost_per_1k: 0,
+        prior_quality: 1.0,
+        cold_concurrency: limit,
+        warm_concurrency: 64,
+    };
+    let customer = records::customer::CustomerRecord {
+        name: "r".into(),
+        token_sha256: Vec::new(),
+        allowed: Vec::new(),
+        quality_target: 0.5,
+        cascade: None,
+        weight: 1,
+        limits: records::customer::CustomerLimits {
+            requests_per_s: f64::from(limit),
+            concurrency: limit,
+            spend_per_day: u64::from(limit),
+        },
+    };
+    let all = [records::RoutingRecord::Model(model), records::RoutingRecord::Customer(customer)];
+    config_snapshot::ConfigSnapshot::from_records(1, all)
+}
+
+fn replicas() -> replica_table::ReplicaTable {
+    let role = instance_list::InstanceRole::Engine {
+        model: "m".into(),
+        version: "v".into(),
+        checks_fencing: true,
+    };
+    let listed = instance_list::ListedInstance {
+        name: "r".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        peer_address: None,
+        data_centre: "dc".into(),
+        role,
+        state: instance_list::InstanceState::Live,
+    };
+    replica_table::ReplicaTable::from_list(&[listed], &replica_table::ReplicaTable::default())
+}
+
+impl World {
+    pub fn new(schedule: Schedule) -> Self {
+        let mut random = rand::rngs::StdRng::seed_from_u64(schedule.seed);
+        let members: Vec<ids::InstanceName> =
+            (0..schedule.nodes).map(|index| format!("n{index}").into()).collect();
+        let nodes = members.iter().map(|name| {
+            let offset = ms(random.random_range(0..1_000_000));
+            let mut home = quota_home::QuotaHome::new(name.clone(), 1, offset);
+            home.set_members(&members, offset);
+            Node {
+                name: name.clone(),
+                offset,
+                alive: true,
+                paused_until: Duration::ZERO,
+                cut_until: Duration::ZERO,
+                cut_at: Duration::ZERO,
+                last_contact: Duration::ZERO,
+                view: members.clone(),
+                learns_at: Duration::MAX,
+                shares: ShareTable::new(name.clone(), 1),
+                home,
+                running: Vec::new(),
+            }
+        });
+        let nodes = nodes.collect();
+        Self {
+            snapshot: records(schedule.limit),
+            table: replicas(),
+            schedule,
+            random,
+            now: Duration::ZERO,
+            nodes,
+            members,
+            removals: Vec::new(),
+            messages: Vec::new(),
+            resource: "r".into(),
+        }
+    }
+
+    pub fn quantity(&self) -> u64 {
+        let limit = u64::from(self.schedule.limit);
+        if self.schedule.kind == ResourceKind::CustomerRate { limit * 1_000 } else { limit }
+    }
+
+    fn change_members(&mut self, change: impl FnOnce(&mut Vec<ids::InstanceName>)) {
+        change(&mut self.members);
+        self.members.sort();
+        for node in &mut self.nodes {
+            let learns_at = self.now + ms(self.random.random_range(0..LEARNED_WITHIN_MS));
+            node.learns_at = node.learns_at.min(learns_at);
+        }
+    }
+
+    fn inject(&mut self, fault: &Fault) {
+        let now = self.now;
+        match *fault {
+            Fault::Kill { node } => {
+                let node = &mut self.nodes[node];
+                node.alive = false;
+                node.running.clear();
+                self.removals.push((now + DEAD_AFTER, node.name.clone()));
+            }
+            Fault::Restart { node } => self.restart(node),
+            Fault::Cut { nodes, for_ms } => {
+                for node in nodes {
+                    let node = &mut self.nodes[node];
+                    (node.cut_until, node.cut_at) = (now + ms(for_ms), now);
+                    if ms(for_ms) > DEAD_AFTER {
+                        self.removals.push((now + DEAD_AFTER, node.name.clone()));
+                    }
+                }
+            }
+            Fault::Pause { node, for_ms } => {
+                let (name, until) = (self.nodes[node].name.clone(), now + ms(for_ms));
+                self.nodes[node].paused_until = until;
+                if ms(for_ms) > DEAD_AFTER {
+                    self.removals.push((now + DEAD_AFTER, name));
+                }
+            }
+            Fault::ShutDown { node } => self.shut_down(node),
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        let (now, members) = (self.now, self.members.clone());
+        let node = &mut self.nodes[index];
+        if node.alive {
+            return;
+        }
+        let incarnation = now.as_millis() as u64 + 2;
+        node.alive = true;
+        node.last_contact = now;
+        node.view = members;
+        node.shares = ShareTable::new(node.name.clone(), incarnation);
+        node.home = quota_home::QuotaHome::new(node.name.clone(), incarnation, now + node.offset);
+        node.home.set_members(&node.view, now + node.offset);
+        let name = node.name.clone();
+        self.removals.retain(|(_, removed)| *removed != name);
+        self.rejoin(&name);
+    }
+
+    fn rejoin(&mut self, name: &ids::InstanceName) {
+        if !self.members.contains(name) {
+            self.change_members(|members| members.push(name.clone()));
+        }
+    }
+
+    fn shut_down(&mut self, index: usize) {
+        if !self.nodes[index].alive || !self.reachable(index) {
+            return;
+        }
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let name = node.name.clone();
+        for (home, handovers) in node.home.hand_over(now + node.offset) {
+            let target = self.nodes.iter().position(|other| other.name == home).unwrap();
+            self.send(index, target, Message::Handover(name.clone(), handovers));
+        }
+        self.change_members(|members| members.retain(|member| *member != name));
+    }
+
+    fn reachable(&self, index: usize) -> bool {
+        let node = &self.nodes[index];
+        node.alive && self.now >= node.cut_until && self.now >= node.paused_until
+    }
+
+    fn connected(&self, from: usize, to: usize) -> bool {
+        let side = |index: usize| {
+            let node = &self.nodes[index];
+            (self.now < node.cut_until).then_some(node.cut_at)
+        };
+        from == to || side(from) == side(to)
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let lost = self.random.random_bool(self.schedule.loss);
+        if !lost && self.connected(from, to) {
+            // A few messages are so late that they arrive behind later ones.
+            let late = if self.random.random_bool(0.1) { 2_500 } else { 150 };
+            let arrives_at = self.now + ms(self.random.random_range(0..late));
+            self.messages.push((arrives_at, [from, to], message));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, kept) = std::mem::take(&mut self.messages)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(arrives_at, ..)| *arrives_at <= now);
+        self.messages = kept;
+        for (_, [from, to], message) in due {
+            let node = &self.nodes[to];
+            if now < node.paused_until {
+                // Waits in the receive buffer until the process runs again.
+                self.messages.push((node.paused_until, [from, to], message));
+            } else if node.alive && self.connected(from, to) {
+                self.handle(to, message);
+            }
+        }
+    }
+
+    fn handle(&mut self, to: usize, message: Message) {
+        let node = &mut self.nodes[to];
+        let clock = self.now + node.offset;
+        let tables = quota_home::QuotaTables { snapshot: &self.snapshot, table: &self.table };
+        match message {
+            Message::Request(request) => {
+                let may_grant = self.now < node.last_contact + ISOLATED_AFTER;
+                let reply = node.home.answer(&request, tables, may_grant, clock);
+                let name = node.name.clone();
+                let back = self.nodes.iter().position(|node| node.name == request.node).unwrap();
+                self.send(to, back, Message::Reply(name, reply));
+            }
+            Message::Reply(home, reply) => node.shares.apply(&home, &reply),
+            Message::Handover(from, handovers) => {
+                node.home.accept_handover(&from, &handovers, tables, clock);
+            }
+        }
+    }
+
+    fn run_node(&mut self, index: usize, step: u32) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        node.running.retain(|ends_at| *ends_at > now);
+        if !node.alive || now < node.paused_until {
+            return;
+        }
+        let clock = now + node.offset;
+        let isolated = now >= node.last_contact + ISOLATED_AFTER;
+        node.home.tick(!isolated, clock);
+        if now >= node.cut_until {
+            node.last_contact = now;
+            if now >= node.learns_at {
+                node.learns_at = Duration::MAX;
+                node.view = self.members.clone();
+                node.home.set_members(&node.view, clock);
+            }
+        }
+        let kind = self.schedule.kind;
+        let limit = self.schedule.limit;
+        let held = node.shares.leased(kind, "r", clock);
+        while kind == ResourceKind::ReplicaConcurrency && (node.running.len() as u64) < held {
+            let duration = if self.random.random_bool(0.2) { 8_000 } else { 1_000 };
+            node.running.push(now + ms(self.random.random_range(100..duration)));
+        }
+        let due = (step as usize + index).is_multiple_of(10);
+        let busy = self.random.random_bool(0.8);
+        if due {
+            let unit = if kind == ResourceKind::CustomerRate { 1_000 } else { 1 };
+            let in_use = node.running.len() as u64;
+            let wanted = if busy { self.random.random_range(0..limit) + 1 } else { 0 };
+            let wanted = (u64::from(wanted) * unit).max(in_use);
+            let use_now = ShareUse { wanted, in_use, used: 0, period: 0 };
+            node.shares.set_use(kind, &self.resource, use_now, clock);
+            for (home, request) in node.shares.requests(clock, &node.view.clone()) {
+                let target = self.nodes.iter().position(|node| node.name == home).unwrap();
+                self.send(index, target, Message::Request(request));
+            }
+        }
+    }
+
+    pub fn step(&mut self, step: u32) {
+        self.now = STEP * step;
+        if let Some(fault) = self.schedule.faults.get(&step).cloned() {
+            self.inject(&fault);
+        }
+        let now = self.now;
+        let (due, kept) = std::mem::take(&mut self.removals)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(due_at, _)| *due_at <= now);
+        self.removals = kept;
+        for (_, name) in due {
+            self.change_members(|members| members.retain(|member| *member != name));
+        }
+        for index in 0..self.nodes.len() {
+            let node = &self.nodes[index];
+            let back = now == node.cut_until.max(node.paused_until) && now > Duration::ZERO;
+            if node.alive && back {
+                let name = node.name.clone();
+                self.rejoin(&name);
+            }
+        }
+        self.deliver();
+        let alive: SmallVec<[usize; 8]> = (0..self.nodes.len()).collect();
+        alive.into_iter().for_each(|index| self.run_node(index, step));
+    }
+
+    /// Sum of the shares that nodes hold, and of the requests at the replica.
+    pub fn totals(&self) -> (u64, u64) {
+        let kind = self.schedule.kind;
+        let held = self.nodes.iter().filter(|node| node.alive);
+        let held = held.map(|node| node.shares.leased(kind, "r", self.now + node.offset));
+        (held.sum(), self.nodes.iter().map(|node| node.running.len() as u64).sum())
+    }
+}
