--- a/src/admission_queue.rs
+++ b/src/admission_queue.rs
@@ -130,18 +130,35 @@
         Ok(())
     }
 
-    /// Puts a request back at the head of its customer's queue after routing found no credit.
+    /// Undoes the last `pop` after routing found no credit.
     pub fn restore(&mut self, request: QueuedRequest<T>) {
+        self.rate.take_back(request.cost.max(1));
+        self.since_batch = match request.lane {
+            RequestLane::Batch => BATCH_TURN,
+            RequestLane::Interactive => self.since_batch.saturating_sub(1),
+        };
+        self.push_retry(request);
+    }
+
+    /// Queues a request for another attempt, ahead of its customer's others and without a bound.
+    pub fn push_retry(&mut self, request: QueuedRequest<T>) {
         let weight = self.weight(&request.customer);
         let (customer, cost) = (request.customer.clone(), request.cost.max(1));
-        self.rate.take_back(cost);
         self.lane(request.lane).restore(customer, weight, cost, request);
     }
 
+    /// Refuses all requests that can no longer be answered in time; call it every 0.1 s.
+    pub fn take_late(&mut self, now: Duration) -> Vec<QueueRefusal<T>> {
+        let late = |request: &QueuedRequest<T>| now + request.expected > request.deadline;
+        let mut taken = self.interactive.take_where(late);
+        taken.append(&mut self.batch.take_where(late));
+        taken.into_iter().map(|request| late_refusal(request, now)).collect()
+    }
+
     /// Next request; call it while the pool has credit.
     ///
     /// A request that can no longer be answered in time is refused rather than dispatched,
-    /// because its answer would be work without use.
+    /// because its answer would be work without use. It does not use up its customer's turn.
     pub fn pop(&mut self, now: Duration) -> Option<QueueOutcome<T>> {
         self.rate.observe(now, !self.is_empty());
         let batch_turn = self.interactive.is_empty() || self.since_batch + 1 >= BATCH_TURN;
@@ -150,11 +167,9 @@
             _ => self.interactive.pop(),
         }?;
         if now + request.expected > request.deadline {
-            let passed = now >= request.deadline;
-            let reason =
-                if passed { RefusalReason::DeadlineExceeded } else { RefusalReason::Overloaded };
-            let retry_after = Duration::from_secs(1);
-            return Some(QueueOutcome::Refuse(QueueRefusal { request, reason, retry_after }));
+            let cost = request.cost.max(1);
+            self.lane(request.lane).refund(&request.customer, cost);
+            return Some(QueueOutcome::Refuse(late_refusal(request, now)));
         }
         self.since_batch = match request.lane {
             RequestLane::Batch => 0,
@@ -202,3 +217,9 @@
         usize::try_from(part).unwrap_or(usize::MAX).max(1)
     }
 }
+
+fn late_refusal<T>(request: QueuedRequest<T>, now: Duration) -> QueueRefusal<T> {
+    let passed = now >= request.deadline;
+    let reason = if passed { RefusalReason::DeadlineExceeded } else { RefusalReason::Overloaded };
+    QueueRefusal { request, reason, retry_after: Duration::from_secs(1) }
+}
--- a/src/fair_lane.rs
+++ b/src/fair_lane.rs
@@ -21,6 +21,12 @@
     requests: VecDeque<(u32, R)>,
 }
 
+impl<R> Default for CustomerQueue<R> {
+    fn default() -> Self {
+        Self { weight: 1, deficit: 0, visited: false, work: 0, requests: VecDeque::new() }
+    }
+}
+
 impl<R> Default for FairLane<R> {
     fn default() -> Self {
         Self { queues: HashMap::new(), ring: VecDeque::new(), len: 0 }
@@ -51,9 +57,14 @@
         self.len += 1;
     }
 
-    /// Puts back the request that was popped last, with the deficit that it used.
+    /// Puts a request at the head, to be served next, with the deficit that it needs.
     pub fn restore(&mut self, customer: ids::CustomerName, weight: u32, cost: u32, request: R) {
-        let queue = self.queue(customer, weight);
+        if self.ring.front() != Some(&customer) {
+            self.ring.retain(|waiting| *waiting != customer);
+            self.ring.push_front(customer.clone());
+        }
+        let queue = self.queues.entry(customer).or_default();
+        (queue.weight, queue.visited) = (weight, true);
         queue.work += u64::from(cost);
         queue.deficit += u64::from(cost);
         queue.requests.push_front((cost, request));
@@ -87,6 +98,30 @@
         }
     }
 
+    /// Gives back the deficit of a popped request that was not served.
+    pub fn refund(&mut self, customer: &str, cost: u32) {
+        if let Some(queue) = self.queues.get_mut(customer) {
+            queue.deficit += u64::from(cost);
+        }
+    }
+
+    /// Removes the requests that match, with the work that they stood for.
+    pub fn take_where(&mut self, matches: impl Fn(&R) -> bool) -> Vec<R> {
+        let mut taken = Vec::new();
+        for queue in self.queues.values_mut() {
+            let waiting = std::mem::take(&mut queue.requests);
+            let (removed, kept) = waiting.into_iter().partition(|(_, request)| matches(request));
+            queue.requests = kept;
+            let removed: VecDeque<(u32, R)> = removed;
+            queue.work -= removed.iter().map(|(cost, _)| u64::from(*cost)).sum::<u64>();
+            taken.extend(removed.into_iter().map(|(_, request)| request));
+        }
+        self.len -= taken.len();
+        self.queues.retain(|_, queue| !queue.requests.is_empty());
+        self.ring.retain(|customer| self.queues.contains_key(customer));
+        taken
+    }
+
     /// Work that is served before a new request of a customer.
     ///
     /// Each other customer is served in proportion to its weight while the customer's own work
@@ -104,7 +139,7 @@
         let ring = &mut self.ring;
         let queue = self.queues.entry(customer).or_insert_with_key(|customer| {
             ring.push_back(customer.clone());
-            CustomerQueue { weight, deficit: 0, visited: false, work: 0, requests: VecDeque::new() }
+            CustomerQueue::default()
         });
         queue.weight = weight;
         queue
--- a/src/quota_lease.rs
+++ b/src/quota_lease.rs
@@ -39,7 +39,7 @@
 /// What a node may use of a resource at one moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ShareState {
-    /// No home has answered yet; the first exchange is under way.
+    /// No share is held, and none was asked for or the exchange is under way.
     Unasked,
     /// Leased share.
     Leased {
@@ -72,15 +72,22 @@
 struct ShareRow {
     use_now: ShareUse,
     share: Option<LeasedShare>,
-    answered: bool,
+    /// Whether the last share was larger than the one before by an eighth.
+    grew: bool,
+    /// Time until which the last answer says that there is no home.
+    homeless_until: Duration,
+    /// Time of the first request since the last answer.
     asked_at: Option<Duration>,
     demand_at: Duration,
 }
 
 impl ShareRow {
-    /// Whether the first exchange may still be under way.
+    /// Whether a share is still to be asked for, or the exchange may be under way.
+    ///
+    /// A node that was idle has let its leases end; that is no sign of a missing home.
     fn awaits_answer(&self, now: Duration) -> bool {
-        !self.answered && self.asked_at.is_none_or(|asked_at| now < asked_at + ASK_TIMEOUT)
+        now >= self.homeless_until
+            && self.asked_at.is_none_or(|asked_at| now < asked_at + ASK_TIMEOUT)
     }
 
     /// Whether the home needs to hear of this row.
@@ -122,8 +129,9 @@
 
     /// States the use of a resource; returns whether it needs an exchange at once.
     ///
-    /// That is so on first demand and when demand first exceeds what is held, so that a surge
-    /// gets its shares before the next periodic renewal.
+    /// That is so when demand first exceeds what is held and while shares still grow, so that a
+    /// surge gets its shares before the next periodic renewals. The caller spaces such exchanges
+    /// by 0.1 s.
     pub fn set_use(
         &mut self,
         kind: quota_message::ResourceKind,
@@ -137,7 +145,7 @@
             row.demand_at = now;
         }
         let held = row.share.filter(|share| now < share.expires_at).map_or(0, |share| share.amount);
-        use_now.wanted > held && (former.wanted == 0 || former.wanted <= held)
+        use_now.wanted > held && (former.wanted <= held || row.grew)
     }
 
     /// Forgets a resource that is no longer used.
@@ -199,7 +207,11 @@
         for grant in &reply.grants {
             let rows = &mut self.rows[grant.resource.kind as usize];
             let Some(row) = rows.get_mut(&grant.resource.name) else { continue };
-            row.answered = true;
+            row.asked_at = None;
+            row.homeless_until = match grant.outcome {
+                quota_message::GrantOutcome::Leased { .. } => Duration::ZERO,
+                quota_message::GrantOutcome::NoHome => sent.sent_at + quota_message::SHARE_LEASE,
+            };
             // Without a home the share of the former one stays valid until its lease ends.
             let newer = row.share.is_none_or(|share| share.number < reply.number);
             if let quota_message::GrantOutcome::Leased { amount, quantity, cold, epoch } =
@@ -207,6 +219,8 @@
                 && newer
             {
                 let used = sent.used.iter().find(|(resource, _)| *resource == grant.resource);
+                let former = row.share.map_or(0, |share| share.amount);
+                row.grew = amount > former + former / 8;
                 row.share = Some(LeasedShare {
                     number: reply.number,
                     amount,
@@ -245,7 +259,7 @@
                 used_at_send: share.used_at_send,
                 epoch: share.epoch,
             },
-            None if row.awaits_answer(now) => ShareState::Unasked,
+            Some(_) | None if row.awaits_answer(now) => ShareState::Unasked,
             Some(_) | None => ShareState::NoHome,
         }
     }
--- a/src/quota_row.rs
+++ b/src/quota_row.rs
@@ -208,25 +208,33 @@
     fn amount(&self, node: &str, own: &NodeShare, quantity: u64, now: Duration) -> u64 {
         let quantity = quantity.saturating_sub(self.spent(own.period));
         let others = self.shares.iter().filter(|(name, _)| &***name != node);
-        let taken: u64 = others.clone().map(|(_, share)| share.outstanding(self.kind)).sum();
+        let taken: u64 = others.map(|(_, share)| share.outstanding(self.kind)).sum();
         let free = quantity.saturating_sub(taken + self.unattributed);
-        let asking = others.filter(|(_, share)| now < share.asked_at + DEMAND_KEPT);
-        let demand: u64 = asking.clone().map(|(_, share)| share.wanted).sum();
-        let target = divide(quantity, own.wanted, demand.saturating_add(own.wanted));
-        if target > 0 {
-            let current = own.grants.last().map_or(0, |grant| grant.amount).min(free);
-            // A part of the rest at a time leaves first shares for nodes that ask a moment later.
-            let part = if current == 0 { FIRST_PART } else { GROWTH_PART };
-            let growth = current + (free - current).div_ceil(part);
-            return target.min(growth);
+        let target = self.target(node, own, quantity, now);
+        let current = own.grants.last().map_or(0, |grant| grant.amount).min(free);
+        // A part of the rest at a time leaves first shares for nodes that ask a moment later.
+        let part = if current == 0 { FIRST_PART } else { GROWTH_PART };
+        target.min(current + (free - current).div_ceil(part))
+    }
+
+    /// Part of the quantity that a node's demand is due.
+    fn target(&self, node: &str, own: &NodeShare, quantity: u64, now: Duration) -> u64 {
+        let asking = || {
+            let shares = self.shares.iter().filter(|(_, share)| share.wanted > 0);
+            shares.filter(|(_, share)| now < share.asked_at + DEMAND_KEPT)
+        };
+        let demand = asking().fold(0_u64, |sum, (_, share)| sum.saturating_add(share.wanted));
+        if demand <= quantity || own.wanted == 0 {
+            return own.wanted;
         }
-        let waiting = asking.filter(|(_, share)| {
-            share.wanted > 0 && share.outstanding(self.kind) == 0 && share.last_held < own.last_held
-        });
-        let waiting = waiting.count() as u64;
-        let turn_over = own.held_since.is_some_and(|since| waiting > 0 && now >= since + ROTATION);
-        let reserved = if own.held_since.is_some() { 0 } else { waiting };
-        u64::from(own.wanted > 0 && !turn_over && free > reserved)
+        let (whole, _) = divide(quantity, own.wanted, demand);
+        let whole_sum: u64 =
+            asking().map(|(_, share)| divide(quantity, share.wanted, demand).0).sum();
+        let own_turn = turn(node, own, quantity, demand, now);
+        let ahead = asking()
+            .filter(|(name, share)| turn(name, share, quantity, demand, now) < own_turn)
+            .count() as u64;
+        whole + u64::from(ahead < quantity - whole_sum)
     }
 
     /// Amount of a spend limit that is used up in the period.
@@ -311,11 +319,31 @@
         .retain(|stale| stale.orphan || stale.reported_by.is_none_or(|number| applied < number));
 }
 
-/// Part of a quantity by demand; all that is wanted when there is enough.
-fn divide(quantity: u64, wanted: u64, demand: u64) -> u64 {
-    if demand <= quantity {
-        return wanted;
-    }
-    let part = u128::from(quantity) * u128::from(wanted) / u128::from(demand);
-    u64::try_from(part).unwrap_or(u64::MAX)
+/// Whole part of a quantity by demand, and the remainder in the same ratio for all nodes.
+fn divide(quantity: u64, wanted: u64, demand: u64) -> (u64, u128) {
+    let product = u128::from(quantity) * u128::from(wanted);
+    let whole = product / u128::from(demand);
+    (u64::try_from(whole).unwrap_or(u64::MAX), product % u128::from(demand))
+}
+
+/// Order in which nodes receive the units that whole parts leave over.
+///
+/// Nodes that would have none come first: those that took a unit a short time ago, then those
+/// that have waited the longest. The others follow by remainder, and last the nodes that have
+/// held their only unit for long, so that it moves on.
+fn turn<'a>(
+    node: &'a str,
+    share: &NodeShare,
+    quantity: u64,
+    demand: u64,
+    now: Duration,
+) -> (u8, Duration, std::cmp::Reverse<u128>, &'a str) {
+    let (whole, remainder) = divide(quantity, share.wanted, demand);
+    let (class, waited) = match (whole, share.held_since) {
+        (0, Some(since)) if now < since + ROTATION => (0, Duration::ZERO),
+        (0, None) => (1, share.last_held),
+        (0, Some(_)) => (3, Duration::ZERO),
+        _ => (2, Duration::ZERO),
+    };
+    (class, waited, std::cmp::Reverse(remainder), node)
 }
