--- a/src/order_sender.rs
+++ b/src/order_sender.rs
@@ -5,7 +5,9 @@
 //! out the former lease after taking the role, checks the holder key directly
 //! before the order, and reads the engine's state back after it. The caller repeats
 //! an order until the engine shows it, which also repairs a late order of a former
-//! holder.
+//! holder. Such an order still takes effect for a moment when the former holder was
+//! paused between its last check and the order for longer than both waits;
+//! `examples/orders.rs` counts these cases.
 
 use std::sync::Arc;
 use std::time::Duration;
