--- /dev/null
+++ b/tests/cascade_policy.rs
@@ -0,0 +1,296 @@
+//! Choice of cascade plans and learning from ratings.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use yuccareel::cascade_policy::{
+    self, AnswerDecision, CascadePlan, PolicyRequest, RatingUse, StepOption,
+};
+use yuccareel::quality_table::{self, PassCount, QualityCell, QualityTable};
+
+/// Owner of what a `PolicyRequest` borrows.
+struct Fixture {
+    customer: Arc<str>,
+    kind: Arc<str>,
+    steps: Vec<StepOption>,
+}
+
+impl Fixture {
+    fn new(priors: &[f64]) -> Self {
+        let step = |(number, &prior_quality): (usize, &f64)| StepOption {
+            model: Arc::from(format!("m{number}")),
+            cost: 100 * 5_u64.pow(number as u32),
+            prior_quality,
+        };
+        let steps = priors.iter().enumerate().map(step).collect();
+        Self { customer: Arc::from("c"), kind: Arc::from("k"), steps }
+    }
+
+    fn request(&self, quality_target: f64, rating: RatingUse) -> PolicyRequest<'_> {
+        let (customer, kind, steps) = (&self.customer, &self.kind, &self.steps[..]);
+        PolicyRequest { customer, kind, steps, quality_target, rating }
+    }
+
+    fn learn(&self, table: &mut QualityTable, step: usize, passes: u32, failures: u32) {
+        let request = self.request(0.9, RatingUse::Available);
+        let cell = cascade_policy::answer_cell(&request, step, None);
+        for number in 0..passes + failures {
+            // Spreads the failures evenly, as decay favours late answers.
+            let passed = number * failures / (passes + failures)
+                == (number + 1) * failures / (passes + failures);
+            table.record(&cell, passed, 1.0);
+        }
+    }
+}
+
+fn steps(plan: &CascadePlan) -> Vec<usize> {
+    plan.steps.to_vec()
+}
+
+/// Guards against plans that miss the target, cost more than needed, or need ratings that do not
+/// come.
+#[test]
+fn cheapest_plan_that_meets_the_target() {
+    struct Case {
+        name: &'static str,
+        passes: [u32; 3],
+        target: f64,
+        rating: RatingUse,
+        plan: &'static [usize],
+    }
+    // Pass rates in thousandths, out of 1,000 answers each.
+    let cases = [
+        Case {
+            name: "cheap is good",
+            passes: [980, 985, 990],
+            target: 0.95,
+            rating: RatingUse::Available,
+            plan: &[0],
+        },
+        Case {
+            name: "escalate",
+            passes: [700, 750, 990],
+            target: 0.95,
+            rating: RatingUse::Available,
+            plan: &[0, 2],
+        },
+        Case {
+            name: "middle step",
+            passes: [200, 960, 990],
+            target: 0.95,
+            rating: RatingUse::Available,
+            plan: &[1],
+        },
+        Case {
+            name: "streamed",
+            passes: [700, 750, 990],
+            target: 0.95,
+            rating: RatingUse::Streamed,
+            plan: &[2],
+        },
+        Case {
+            name: "rating gone",
+            passes: [700, 960, 990],
+            target: 0.95,
+            rating: RatingUse::Unavailable,
+            plan: &[1],
+        },
+        Case {
+            name: "unreachable target",
+            passes: [300, 500, 800],
+            target: 0.99,
+            rating: RatingUse::Unavailable,
+            plan: &[2],
+        },
+    ];
+    for case in cases {
+        let fixture = Fixture::new(&[0.7, 0.8, 0.95]);
+        let mut table = QualityTable::default();
+        for (step, passes) in case.passes.into_iter().enumerate() {
+            fixture.learn(&mut table, step, passes, 1_000 - passes);
+        }
+        let request = fixture.request(case.target, case.rating);
+        let plan = cascade_policy::best_plan(&table, &request).unwrap();
+        assert_eq!(steps(&plan), case.plan, "{}", case.name);
+    }
+}
+
+/// Guards against a request that waits for a rating or is delivered unrated below the target.
+#[test]
+fn decision_after_an_answer() {
+    struct Case {
+        name: &'static str,
+        place: usize,
+        score: Option<f64>,
+        decision: AnswerDecision,
+    }
+    let cases = [
+        Case { name: "good", place: 0, score: Some(0.95), decision: AnswerDecision::Deliver },
+        Case { name: "bad", place: 0, score: Some(0.5), decision: AnswerDecision::Escalate(1) },
+        Case {
+            name: "bad at the last step",
+            place: 2,
+            score: Some(0.5),
+            decision: AnswerDecision::Deliver,
+        },
+        Case {
+            name: "unrated below the target",
+            place: 0,
+            score: None,
+            decision: AnswerDecision::Escalate(2),
+        },
+        Case {
+            name: "unrated at the last step",
+            place: 2,
+            score: None,
+            decision: AnswerDecision::Deliver,
+        },
+    ];
+    let fixture = Fixture::new(&[0.5, 0.7, 0.99]);
+    let (table, plan) = (QualityTable::default(), cascade_policy::fixed_plan([0, 1, 2]));
+    let request = fixture.request(0.9, RatingUse::Available);
+    for case in cases {
+        let found = cascade_policy::after_answer(&table, &request, &plan, case.place, case.score);
+        assert_eq!(found, case.decision, "{}", case.name);
+    }
+}
+
+/// Guards against exploration that is missing, too frequent, or applied to streamed answers.
+#[test]
+fn two_percent_explore() {
+    let fixture = Fixture::new(&[0.7, 0.8, 0.99]);
+    let (table, mut random) = (QualityTable::default(), StdRng::seed_from_u64(7));
+    let mut explored = |rating| {
+        let request = fixture.request(0.9, rating);
+        let plans = (0..20_000)
+            .map(|_| cascade_policy::choose_plan(&table, &request, &mut random).unwrap());
+        plans.filter(|plan| plan.explores).count()
+    };
+    // 400 expected, standard deviation 20.
+    assert!((320..=480).contains(&explored(RatingUse::Available)));
+    assert_eq!(explored(RatingUse::Streamed), 0);
+    assert_eq!(explored(RatingUse::Unavailable), 0);
+}
+
+/// Guards against an unbounded influence of one answer or of a short burst of wrong ratings.
+#[test]
+fn wrong_ratings_move_the_rate_little() {
+    struct Case {
+        name: &'static str,
+        wrong: u32,
+        weight: f64,
+        most: f64,
+    }
+    let cases = [
+        Case { name: "one answer", wrong: 1, weight: 1.0, most: 0.002 },
+        Case { name: "one answer of a huge weight", wrong: 1, weight: 1e9, most: 0.002 },
+        Case { name: "weight that is no number", wrong: 1, weight: f64::NAN, most: 0.0 },
+        Case { name: "burst of 20", wrong: 20, weight: 1.0, most: 0.025 },
+    ];
+    for case in cases {
+        let fixture = Fixture::new(&[0.9]);
+        let mut table = QualityTable::default();
+        fixture.learn(&mut table, 0, 4_750, 250);
+        let request = fixture.request(0.9, RatingUse::Available);
+        let cell = cascade_policy::answer_cell(&request, 0, None);
+        let before = table.estimate(&cell, 0.9).mean;
+        (0..case.wrong).for_each(|_| table.record(&cell, false, case.weight));
+        let moved = before - table.estimate(&cell, 0.9).mean;
+        assert!((0.0..=case.most).contains(&moved), "{}: {moved}", case.name);
+    }
+}
+
+/// Guards against a table that holds on to the past of a model whose quality fell.
+#[test]
+fn old_answers_decay() {
+    let fixture = Fixture::new(&[0.9]);
+    let mut table = QualityTable::default();
+    fixture.learn(&mut table, 0, 10_000, 0);
+    fixture.learn(&mut table, 0, 0, 2_000);
+    let request = fixture.request(0.9, RatingUse::Available);
+    let cell = cascade_policy::answer_cell(&request, 0, None);
+    assert!(table.estimate(&cell, 0.9).mean < 0.2);
+}
+
+/// Guards against a summary that loses cells, exceeds its keys, or overwrites fresher counts.
+#[test]
+fn summary_survives_export_and_import() {
+    let mut table = QualityTable::default();
+    let cell = |number: u32| QualityCell {
+        customer: Arc::from(format!("c{number}")),
+        kind: Arc::from("k"),
+        model: Arc::from("m"),
+        after: number.is_multiple_of(2).then(|| Arc::from("cheap")),
+    };
+    for number in 0..200 {
+        table.record(&cell(number), number % 3 == 0, 1.0);
+    }
+    let mut copy = QualityTable::default();
+    copy.record(&cell(0), false, 1.0);
+    copy.record(&cell(0), false, 1.0);
+    for part in 0..quality_table::SUMMARY_PARTS {
+        let text = serde_json::to_vec(&table.export(part)).unwrap();
+        copy.import(serde_json::from_slice::<Vec<_>>(&text).unwrap());
+    }
+    assert_eq!(copy.len(), 200);
+    assert_eq!(copy.estimate(&cell(3), 0.5), table.estimate(&cell(3), 0.5));
+    assert!(copy.estimate(&cell(0), 0.5).mean < 0.5, "the fresher counts were overwritten");
+}
+
+/// Guards against counts that are sent twice, and against rows that poison the table.
+#[test]
+fn counts_of_other_nodes_are_bounded() {
+    let fixture = Fixture::new(&[0.9]);
+    let (mut sender, mut holder) = (QualityTable::default(), QualityTable::default());
+    fixture.learn(&mut sender, 0, 90, 10);
+    holder.merge(sender.take_unsent());
+    assert!(sender.take_unsent().is_empty());
+    let request = fixture.request(0.9, RatingUse::Available);
+    let cell = cascade_policy::answer_cell(&request, 0, None);
+    for (passes, failures) in [(f64::NAN, 1.0), (-5.0, 1.0), (0.0, f64::INFINITY)] {
+        holder.merge([(cell.clone(), PassCount { passes, failures })]);
+    }
+    let mean = holder.estimate(&cell, 0.9).mean;
+    assert!((0.85..0.95).contains(&mean), "{mean}");
+    holder.merge([(cell.clone(), PassCount { passes: 0.0, failures: 1e12 })]);
+    assert!(holder.answers(&cell) < 2_000.0);
+}
+
+proptest! {
+    /// Guards against plans that go back to a cheaper step, repeat one, or are enumerated twice.
+    #[test]
+    fn plans_rise(step_count in 0_usize..9, longest in 1_usize..5) {
+        let plans = cascade_policy::enumerate_plans(step_count, longest);
+        for plan in &plans {
+            prop_assert!(plan.steps.windows(2).all(|pair| pair[0] < pair[1]));
+            prop_assert!(plan.steps.len() <= longest.min(3));
+            prop_assert!(plan.steps.iter().all(|&step| step < step_count));
+        }
+        let mut unique: Vec<_> = plans.iter().map(steps).collect();
+        unique.sort();
+        unique.dedup();
+        prop_assert_eq!(unique.len(), plans.len());
+    }
+
+    /// Guards against estimates outside 0 to 1 and costs below the entry step or above the sum.
+    #[test]
+    fn estimates_stay_in_range(
+        rates in prop::collection::vec((0_u32..50, 0_u32..50, 0.0_f64..=1.0), 1..5),
+    ) {
+        let fixture = Fixture::new(&rates.iter().map(|rate| rate.2).collect::<Vec<_>>());
+        let mut table = QualityTable::default();
+        for (step, &(passes, failures, _)) in rates.iter().enumerate() {
+            fixture.learn(&mut table, step, passes, failures.max(1));
+        }
+        let request = fixture.request(0.9, RatingUse::Available);
+        for plan in cascade_policy::enumerate_plans(rates.len(), 3) {
+            let estimate = cascade_policy::estimate_plan(&table, &request, &plan);
+            let cost = |&step: &usize| fixture.steps[step].cost as f64;
+            let highest: f64 = plan.steps.iter().map(cost).sum();
+            prop_assert!((0.0..=1.0).contains(&estimate.quality));
+            prop_assert!(estimate.cost >= cost(&plan.steps[0]) && estimate.cost <= highest + 1e-6);
+        }
+    }
+}
--- /dev/null
+++ b/tests/prefix_index.rs
@@ -0,0 +1,86 @@
+//! Prefix affinity from own sends and from late, gappy cache events.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use yuccareel::prefix_index::{self, CacheEvent, INDEX_PREFIXES, MAX_BONUS, PrefixIndex};
+
+fn event(boot: &str, sequence: u64, stored: &[u64], evicted: &[u64]) -> CacheEvent {
+    CacheEvent {
+        replica: Arc::from("r"),
+        boot: Arc::from(boot),
+        sequence,
+        stored: stored.to_vec(),
+        evicted: evicted.to_vec(),
+    }
+}
+
+/// Guards against prefixes that are believed after the replica may have lost them.
+#[test]
+fn events_change_what_is_held() {
+    struct Case {
+        name: &'static str,
+        events: Vec<CacheEvent>,
+        held: &'static [u64],
+    }
+    let first = || event("a", 1, &[1, 2], &[]);
+    let cases = [
+        Case { name: "stored", events: vec![first()], held: &[1, 2] },
+        Case { name: "evicted", events: vec![first(), event("a", 2, &[3], &[1])], held: &[2, 3] },
+        Case { name: "gap", events: vec![first(), event("a", 3, &[3], &[])], held: &[3] },
+        Case { name: "new boot", events: vec![first(), event("b", 1, &[3], &[])], held: &[3] },
+        Case {
+            name: "repeated",
+            events: vec![first(), event("a", 2, &[], &[1]), first()],
+            held: &[2],
+        },
+        Case {
+            name: "stored again after a gap",
+            events: vec![first(), event("a", 5, &[], &[]), event("a", 6, &[2], &[])],
+            held: &[2],
+        },
+    ];
+    for case in cases {
+        let mut index = PrefixIndex::default();
+        index.record_send(&Arc::from("other"), &[1, 2, 3]);
+        case.events.iter().for_each(|event| index.apply(event));
+        let held: Vec<u64> = (1..=3).filter(|prefix| index.bonus("r", &[*prefix]) > 0.0).collect();
+        assert_eq!(held, case.held, "{}", case.name);
+        assert_eq!(index.bonus("other", &[1, 2, 3]), MAX_BONUS, "{}", case.name);
+    }
+}
+
+/// Guards against a bonus for another replica, for a shorter match, or for prompts of one start.
+#[test]
+fn bonus_grows_with_the_longest_prefix() {
+    let prompt: Vec<u8> = (0..5_000_u32).map(|number| (number % 251) as u8).collect();
+    let prefixes = prefix_index::prompt_prefixes(&prompt);
+    assert_eq!(prefixes.len(), 3);
+    assert!(prefix_index::prompt_prefixes(&prompt[..255]).is_empty());
+    let mut index = PrefixIndex::default();
+    index.record_send(&Arc::from("long"), &prefixes);
+    index.record_send(&Arc::from("short"), &prefixes[..1]);
+    let bonus = |replica| index.bonus(replica, &prefixes);
+    assert_eq!((bonus("long"), bonus("none")), (MAX_BONUS, 0.0));
+    assert!(bonus("short") > 0.0 && bonus("short") < bonus("long"));
+    assert_eq!(index.bonus("long", &[]), 0.0);
+}
+
+proptest! {
+    /// Guards against an index that grows without bound or leaves rows of a forgotten replica.
+    #[test]
+    fn index_stays_bounded(sends in prop::collection::vec((0_u64..20_000, 0_u32..20), 0..300)) {
+        let mut index = PrefixIndex::default();
+        index.record_send(&Arc::from("r0"), &(100_000..104_096).collect::<Vec<_>>());
+        for (prefix, replica) in &sends {
+            index.record_send(&Arc::from(format!("r{replica}")), &[*prefix, prefix / 2]);
+            prop_assert!(index.len() <= INDEX_PREFIXES);
+        }
+        if let Some((prefix, replica)) = sends.last() {
+            let bonus = index.bonus(&format!("r{replica}"), &[*prefix]);
+            prop_assert!(bonus > 0.0);
+        }
+        (0..20).for_each(|replica| index.forget(&format!("r{replica}")));
+        prop_assert!(index.is_empty());
+    }
+}
--- /dev/null
+++ b/tests/rollout_evidence.rs
@@ -0,0 +1,308 @@
+//! Stages of a rollout and the sequential test, by seeds.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use yuccareel::config_snapshot;
+use yuccareel::records::{RoutingRecord, model, rollout};
+use yuccareel::rollout_evidence::{
+    EvidenceAlarm, EvidenceBlock, EvidenceCollector, EvidenceReport, VersionEvidence,
+};
+use yuccareel::rollout_stage::{
+    self, LocalStops, RollbackReason, RolloutDecision, RolloutPhase, RolloutState, RolloutTick,
+};
+
+fn record() -> rollout::RolloutRecord {
+    rollout::RolloutRecord {
+        name: Arc::from("r"),
+        model: Arc::from("m"),
+        from: Arc::from("1"),
+        to: Arc::from("2"),
+        stages: vec![0.05, 0.25, 1.0],
+        stage_dwell_s: 30,
+        stage_min_requests: 20,
+        max_error_rise: 0.02,
+        max_quality_fall: 0.05,
+        paused: false,
+    }
+}
+
+fn side(requests: u64, errors: u64, random: &mut StdRng, rate: f64) -> VersionEvidence {
+    let mut side = VersionEvidence { requests, errors, ..VersionEvidence::default() };
+    for _ in 0..requests {
+        side.errors += u64::from(random.random_bool(rate));
+        side.rated += 1;
+        side.rated_bad += u64::from(random.random_bool(rate));
+        side.slow += u64::from(random.random_bool(rate));
+    }
+    side
+}
+
+/// Runs a rollout second by second; returns the state and the requests of the new version.
+fn run(seed: u64, new_rate: impl Fn(u64, f64) -> f64) -> (RolloutState, u64) {
+    let (record, mut random) = (record(), StdRng::seed_from_u64(seed));
+    let (mut state, mut exposed) = (RolloutState::new(&record), 0);
+    let traffic = random.random_range(5..40_u64);
+    let base = random.random_range(0.0..0.15);
+    for second in 0..600 {
+        // A fault of the whole platform hits both versions alike.
+        let old = if second % 97 < 5 { base + 0.3 } else { base };
+        let entered =
+            (0..traffic).filter(|_| random.random_bool(0.9 * state.share(&record))).count() as u64;
+        let from = side(traffic - entered, 0, &mut random, old);
+        let to = side(entered, 0, &mut random, new_rate(second, old));
+        exposed += entered;
+        let block = EvidenceBlock { from, to };
+        let tick = RolloutTick { elapsed: Duration::from_secs(1), block, stopped_nodes: 0 };
+        let decision = state.decide(&record, true, &tick);
+        state.apply(&record, &decision);
+        if state.phase != RolloutPhase::Running {
+            break;
+        }
+    }
+    (state, exposed)
+}
+
+/// Guards against roll-backs of good versions: at most 1% of 1,000 seeded rollouts, with a
+/// tolerance of three standard deviations (10 + 9.4).
+#[test]
+fn good_versions_are_rolled_back_in_at_most_one_percent() {
+    let rolled_back = (0..1_000)
+        .filter(|&seed| matches!(run(seed, |_, old| old).0.phase, RolloutPhase::RolledBack { .. }))
+        .count();
+    assert!(rolled_back <= 19, "{rolled_back} of 1,000 good versions were rolled back");
+}
+
+/// Guards against bad versions that pass, or that are exposed as under a timed rollout.
+#[test]
+fn bad_versions_are_rolled_back_early() {
+    struct Case {
+        name: &'static str,
+        rise: fn(u64) -> f64,
+        most_exposed: f64,
+    }
+    // A timed rollout of 3 stages of 30 s exposes about 10.5 s of full traffic to the first two
+    // stages and 27 s to the last one: 790 requests at the mean traffic of 22/s.
+    let cases = [
+        Case { name: "30% more failures", rise: |_| 0.3, most_exposed: 100.0 },
+        Case { name: "15% more failures", rise: |_| 0.15, most_exposed: 200.0 },
+        Case {
+            name: "turns bad at 40 s",
+            rise: |second| if second < 40 { 0.0 } else { 0.3 },
+            most_exposed: 350.0,
+        },
+    ];
+    for case in cases {
+        let mut exposed = 0;
+        for seed in 0..100 {
+            let (state, requests) = run(seed, |second, old| old + (case.rise)(second));
+            let reason = state.phase;
+            assert!(matches!(reason, RolloutPhase::RolledBack { .. }), "{} {seed}", case.name);
+            exposed += requests;
+        }
+        let mean = exposed as f64 / 100.0;
+        assert!(mean <= case.most_exposed, "{}: {mean} requests exposed", case.name);
+    }
+}
+
+/// Guards against a decision that ignores dwell time, evidence, a pause, a withdrawal or stops.
+#[test]
+fn decision_of_one_tick() {
+    struct Case {
+        name: &'static str,
+        paused: bool,
+        to_active: bool,
+        elapsed_s: u64,
+        requests: u64,
+        errors: u64,
+        stopped_nodes: usize,
+        decision: RolloutDecision,
+    }
+    let ready = Case {
+        name: "ready",
+        paused: false,
+        to_active: true,
+        elapsed_s: 30,
+        requests: 20,
+        errors: 0,
+        stopped_nodes: 0,
+        decision: RolloutDecision::Advance,
+    };
+    let hold = RolloutDecision::Hold;
+    let roll_back = RolloutDecision::RollBack;
+    let alarm = RollbackReason::Evidence(EvidenceAlarm::Errors);
+    let cases = [
+        Case { name: "dwell is short", elapsed_s: 29, decision: hold.clone(), ..ready },
+        Case { name: "few requests", requests: 19, decision: hold.clone(), ..ready },
+        Case { name: "paused", paused: true, decision: hold.clone(), ..ready },
+        Case {
+            name: "paused and bad",
+            paused: true,
+            errors: 20,
+            decision: roll_back(alarm),
+            ..ready
+        },
+        Case {
+            name: "withdrawn",
+            to_active: false,
+            decision: roll_back(RollbackReason::Withdrawn),
+            ..ready
+        },
+        Case { name: "one node stopped", stopped_nodes: 1, decision: hold, ..ready },
+        Case {
+            name: "two nodes stopped",
+            stopped_nodes: 2,
+            decision: roll_back(RollbackReason::LocalStops),
+            ..ready
+        },
+        Case { name: "bad", errors: 20, decision: roll_back(alarm), ..ready },
+        ready,
+    ];
+    for case in cases {
+        let record = rollout::RolloutRecord { paused: case.paused, ..record() };
+        let mut state = RolloutState::new(&record);
+        state.stage_elapsed_ms = (case.elapsed_s - 1) * 1_000;
+        let old = VersionEvidence { requests: 500, ..VersionEvidence::default() };
+        let new = VersionEvidence {
+            requests: case.requests,
+            errors: case.errors,
+            ..VersionEvidence::default()
+        };
+        let tick = RolloutTick {
+            elapsed: Duration::from_secs(1),
+            block: EvidenceBlock { from: old, to: new },
+            stopped_nodes: case.stopped_nodes,
+        };
+        assert_eq!(state.decide(&record, case.to_active, &tick), case.decision, "{}", case.name);
+    }
+}
+
+/// Guards against dwell time that passes while nobody collects evidence.
+#[test]
+fn an_outage_is_no_dwell_time() {
+    let record = record();
+    let mut state = RolloutState::new(&record);
+    let block = EvidenceBlock {
+        to: VersionEvidence { requests: 100, ..VersionEvidence::default() },
+        ..EvidenceBlock::default()
+    };
+    let tick = RolloutTick { elapsed: Duration::from_secs(3_600), block, stopped_nodes: 0 };
+    assert_eq!(state.decide(&record, true, &tick), RolloutDecision::Hold);
+}
+
+/// Guards against evidence that is counted twice when a report is repeated.
+#[test]
+fn repeated_reports_count_once() {
+    let mut collector = EvidenceCollector::default();
+    let mut report = EvidenceReport {
+        rollout: Arc::from("r"),
+        sender: Arc::from("a"),
+        sequence: 1,
+        block: EvidenceBlock::default(),
+        stopped: BTreeSet::from([Arc::from("a")]),
+    };
+    report.block.to.record(true, Some(false), false);
+    assert!(collector.record(&report));
+    assert!(!collector.record(&report));
+    report.sequence = 2;
+    assert!(collector.record(&report));
+    let (block, stopped) = collector.take();
+    assert_eq!((block.to.requests, block.to.errors, block.to.rated_bad), (2, 2, 2));
+    assert_eq!(stopped.len(), 1);
+    assert_eq!(collector.take().0, EvidenceBlock::default());
+}
+
+/// Guards against a new session that enters a version against its stage, a stop or a withdrawal.
+#[test]
+fn version_of_a_new_session() {
+    struct Case {
+        name: &'static str,
+        stage: Option<usize>,
+        to_withdrawn: bool,
+        from_withdrawn: bool,
+        errors: u32,
+        version: &'static str,
+    }
+    let full = Case {
+        name: "full stage",
+        stage: Some(2),
+        to_withdrawn: false,
+        from_withdrawn: false,
+        errors: 0,
+        version: "2",
+    };
+    let cases = [
+        Case { name: "state unknown", stage: None, version: "1", ..full },
+        Case { name: "to withdrawn", to_withdrawn: true, version: "1", ..full },
+        Case { name: "from withdrawn", stage: None, from_withdrawn: true, ..full },
+        Case { name: "four errors", errors: 4, ..full },
+        Case { name: "stopped here", errors: 5, version: "1", ..full },
+        full,
+    ];
+    for case in cases {
+        let snapshot = snapshot(case.to_withdrawn, case.from_withdrawn);
+        let mut states = BTreeMap::new();
+        if let Some(stage) = case.stage {
+            states.insert(Arc::from("r"), RolloutState { stage, ..RolloutState::new(&record()) });
+        }
+        let mut stops = LocalStops::default();
+        let stopped =
+            (0..case.errors).filter(|_| stops.record(&Arc::from("m"), &Arc::from("2"), true));
+        assert_eq!(stopped.count(), usize::from(case.errors >= 5), "{}", case.name);
+        let version = rollout_stage::preferred_version(&snapshot, &states, &stops, "m", "s");
+        assert_eq!(version.as_deref(), Some(case.version), "{}", case.name);
+    }
+}
+
+fn snapshot(to_withdrawn: bool, from_withdrawn: bool) -> config_snapshot::ConfigSnapshot {
+    let version = |name: &str, withdrawn| model::ModelVersion {
+        name: Arc::from(name),
+        state: if withdrawn { model::VersionState::Withdrawn } else { model::VersionState::Active },
+    };
+    let model = model::ModelRecord {
+        name: Arc::from("m"),
+        versions: vec![version("1", from_withdrawn), version("2", to_withdrawn)],
+        default_version: Arc::from("1"),
+        input_cost_per_1k: 1,
+        output_cost_per_1k: 1,
+        prior_quality: 0.9,
+        cold_concurrency: 2,
+        warm_concurrency: 8,
+    };
+    let records = [RoutingRecord::Model(model), RoutingRecord::Rollout(record())];
+    config_snapshot::ConfigSnapshot::from_records(1, records)
+}
+
+/// Guards against a local stop on errors that are not consecutive.
+#[test]
+fn a_success_resets_the_count() {
+    let mut stops = LocalStops::default();
+    for number in 1..100 {
+        assert!(!stops.record(&Arc::from("m"), &Arc::from("2"), number % 5 != 0));
+    }
+    assert!(!stops.stopped("m", "2"));
+}
+
+proptest! {
+    /// Guards against sessions that leave the new version when the share grows.
+    #[test]
+    fn sessions_stay_in_as_the_share_grows(session in ".{0,12}", low in 0.0_f64..=1.0, high in 0.0_f64..=1.0) {
+        let (low, high) = (low.min(high), low.max(high));
+        prop_assert!(!rollout_stage::session_enters("r", &session, low)
+            || rollout_stage::session_enters("r", &session, high));
+        prop_assert!(rollout_stage::session_enters("r", &session, 1.0));
+        prop_assert!(!rollout_stage::session_enters("r", &session, 0.0));
+    }
+}
+
+/// Guards against shares that are not met: 10% of 10,000 sessions, standard deviation 30.
+#[test]
+fn share_of_sessions_enters() {
+    let enters = |number: &u32| rollout_stage::session_enters("r", &format!("s{number}"), 0.1);
+    let entered = (0..10_000).filter(enters).count();
+    assert!((880..=1_120).contains(&entered), "{entered}");
+}
--- /dev/null
+++ b/tests/rollout_holder.rs
@@ -0,0 +1,182 @@
+//! Holder of the rollouts against the key-value stand-in and its faults, on paused time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use yuccareel::kv_store::KvStore as _;
+use yuccareel::records::rollout;
+use yuccareel::rollout_evidence::{EvidenceBlock, VersionEvidence};
+use yuccareel::rollout_holder::{self, HolderError, RolloutHolder, StoredState};
+use yuccareel::rollout_stage::{RolloutDecision, RolloutPhase, RolloutTick};
+use yuccareel::standins::kv;
+
+fn record() -> rollout::RolloutRecord {
+    rollout::RolloutRecord {
+        name: Arc::from("r"),
+        model: Arc::from("m"),
+        from: Arc::from("1"),
+        to: Arc::from("2"),
+        stages: vec![0.1, 0.5, 1.0],
+        stage_dwell_s: 1,
+        stage_min_requests: 1,
+        max_error_rise: 0.02,
+        max_quality_fall: 0.05,
+        paused: false,
+    }
+}
+
+/// Tick that is enough to advance one stage.
+fn good_tick() -> RolloutTick {
+    let some = VersionEvidence { requests: 10, ..VersionEvidence::default() };
+    let block = EvidenceBlock { from: some, to: some };
+    RolloutTick { elapsed: Duration::from_secs(1), block, stopped_nodes: 0 }
+}
+
+fn holder(store: &kv::KvStandin, name: &str) -> RolloutHolder {
+    RolloutHolder::new(Arc::new(store.clone()), Arc::from(name))
+}
+
+async fn step(
+    holder: &mut RolloutHolder,
+    stored: &mut StoredState,
+) -> Result<RolloutDecision, HolderError> {
+    holder.step(&record(), true, &good_tick(), stored).await
+}
+
+/// Guards against two holders, and against a role that is kept or lost against the lease.
+#[tokio::test(start_paused = true)]
+async fn one_node_holds_the_role_under_its_lease() {
+    let store = kv::KvStandin::default();
+    let (mut first, mut second) = (holder(&store, "a"), holder(&store, "b"));
+    let token = first.tick().await.unwrap().unwrap().token;
+    for _ in 0..30 {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(first.tick().await.unwrap().unwrap().token, token);
+        assert_eq!(second.tick().await.unwrap(), None);
+    }
+    tokio::time::sleep(Duration::from_secs(11)).await;
+    let successor = second.tick().await.unwrap().unwrap();
+    assert!(successor.token > token);
+    assert_eq!(first.tick().await.unwrap(), None);
+    second.resign().await.unwrap();
+    assert!(first.tick().await.unwrap().is_some());
+}
+
+/// Guards against a former holder that writes after a pause, and a successor that starts over.
+#[tokio::test(start_paused = true)]
+async fn paused_holder_cannot_write_and_successor_carries_on() {
+    let store = kv::KvStandin::default();
+    let (mut first, mut second) = (holder(&store, "a"), holder(&store, "b"));
+    first.tick().await.unwrap();
+    let mut paused = first.read(&record()).await.unwrap();
+    assert_eq!(step(&mut first, &mut paused).await.unwrap(), RolloutDecision::Advance);
+
+    tokio::time::sleep(Duration::from_secs(11)).await;
+    second.tick().await.unwrap();
+    let mut carried = second.read(&record()).await.unwrap();
+    assert_eq!(carried.state, paused.state);
+
+    // The successor has not written yet, so that only the holder key holds the former one back.
+    let error = step(&mut first, &mut paused).await.unwrap_err();
+    assert!(matches!(error, HolderError::RoleLost), "{error}");
+    assert_eq!(first.role(), None);
+    assert_eq!(step(&mut second, &mut carried).await.unwrap(), RolloutDecision::Advance);
+    assert_eq!(second.read(&record()).await.unwrap().state.stage, 2);
+}
+
+/// Guards against stages that move, or are taken for moved, when a write fails.
+#[tokio::test(start_paused = true)]
+async fn write_faults() {
+    struct Case {
+        name: &'static str,
+        faults: kv::KvFaults,
+        succeeds: bool,
+    }
+    let none = kv::KvFaults::default;
+    let cases = [
+        Case { name: "outage", faults: kv::KvFaults { outage: true, ..none() }, succeeds: false },
+        Case {
+            name: "answer lost",
+            faults: kv::KvFaults { lose_answers: 1, ..none() },
+            succeeds: true,
+        },
+        Case {
+            name: "write lost",
+            faults: kv::KvFaults { lose_writes: 1, ..none() },
+            succeeds: false,
+        },
+    ];
+    for case in cases {
+        let store = kv::KvStandin::default();
+        let mut holder = holder(&store, "a");
+        holder.tick().await.unwrap();
+        let mut stored = holder.read(&record()).await.unwrap();
+        step(&mut holder, &mut stored).await.unwrap();
+        *store.faults.lock() = case.faults;
+        let outcome = step(&mut holder, &mut stored).await;
+        *store.faults.lock() = none();
+        assert_eq!(outcome.is_ok(), case.succeeds, "{}", case.name);
+        let stage = if case.succeeds { 2 } else { 1 };
+        assert_eq!(stored.state.stage, stage, "{}", case.name);
+        let found = holder.read(&record()).await.unwrap();
+        assert_eq!((found.state.stage, found.revision), (stage, stored.revision), "{}", case.name);
+        // After the fault the rollout goes on, with the evidence of the failed tick counted.
+        step(&mut holder, &mut stored).await.unwrap();
+        let ended = stored.state.phase == RolloutPhase::Completed;
+        assert_eq!((stored.state.stage, ended), (2, case.succeeds), "{}", case.name);
+    }
+}
+
+/// Guards against a role that is lost for good when the answer to its acquisition is lost.
+#[tokio::test(start_paused = true)]
+async fn role_survives_a_lost_answer() {
+    for (name, lost_answers, ticks) in [("lease grant", 1, 2), ("lease grant and key", 2, 3)] {
+        let store = kv::KvStandin::default();
+        let mut holder = holder(&store, "a");
+        store.faults.lock().lose_answers = lost_answers;
+        for _ in 1..ticks {
+            holder.tick().await.unwrap_err();
+        }
+        let role = holder.tick().await.unwrap().unwrap();
+        let entry = store.get(rollout_holder::HOLDER_KEY).await.unwrap().unwrap();
+        assert_eq!((role.token, role.lease), (entry.create_revision, entry.lease), "{name}");
+    }
+}
+
+/// Guards against two decisions from one state, and against the state of other versions.
+#[tokio::test(start_paused = true)]
+async fn state_is_written_once_and_for_its_versions() {
+    let store = kv::KvStandin::default();
+    let mut holder = holder(&store, "a");
+    holder.tick().await.unwrap();
+    let mut stored = holder.read(&record()).await.unwrap();
+    let mut stale = stored.clone();
+    step(&mut holder, &mut stored).await.unwrap();
+    let error = step(&mut holder, &mut stale).await.unwrap_err();
+    assert!(matches!(error, HolderError::Conflict(_)), "{error}");
+
+    let next = rollout::RolloutRecord { to: Arc::from("3"), ..record() };
+    let mut fresh = holder.read(&next).await.unwrap();
+    assert_eq!((fresh.state.stage, &*fresh.state.to), (0, "3"));
+    holder.step(&next, true, &good_tick(), &mut fresh).await.unwrap();
+    assert_eq!(holder.read(&next).await.unwrap().state.stage, 1);
+}
+
+/// Guards against evidence that a successor never sees because no decision was due.
+#[tokio::test(start_paused = true)]
+async fn evidence_is_saved_while_the_stage_is_held() {
+    let store = kv::KvStandin::default();
+    let mut holder = holder(&store, "a");
+    let paused = rollout::RolloutRecord { paused: true, ..record() };
+    holder.tick().await.unwrap();
+    let mut stored = holder.read(&paused).await.unwrap();
+    let mut revisions = std::collections::BTreeSet::new();
+    for _ in 0..30 {
+        holder.tick().await.unwrap();
+        holder.step(&paused, true, &good_tick(), &mut stored).await.unwrap();
+        revisions.insert(stored.revision);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    assert_eq!(revisions.len(), 3, "one write in 10 s");
+    assert!(holder.read(&paused).await.unwrap().state.stage_requests >= 200);
+}
