--- a/tests/ledger_support/mod.rs
+++ b/tests/ledger_support/mod.rs
@@ -77,19 +77,19 @@
             faults.late_commits = faults.late_commits.saturating_sub(1);
             late.then_some(faults.late_by)
         };
-        let (inner, leases) = (self.inner.clone(), put_leases(&transaction));
+        let inner = self.inner.clone();
+        let lapsed = LapsedPuts { kv: inner.clone(), leases: put_leases(&transaction) };
         let Some(late_by) = late_by else {
             let call = async move {
-                let outcome = inner.commit(transaction).await;
-                drop_lapsed(&inner, &leases);
-                outcome
+                let _lapsed = lapsed;
+                inner.commit(transaction).await
             };
             return self.gated(call).boxed();
         };
         tokio::spawn(async move {
+            let _lapsed = lapsed;
             sleep(late_by).await;
             let _ = inner.table.lock().commit(&transaction);
-            drop_lapsed(&inner, &leases);
         });
         let answer = async {
             sleep(Duration::from_millis(50)).await;
@@ -127,12 +127,20 @@
     leases.collect()
 }
 
-/// Removes keys put under a lapsed lease. The service refuses such puts, the stand-in does not.
-fn drop_lapsed(kv: &KvStandin, leases: &BTreeSet<ids::LeaseId>) {
-    let mut table = kv.table.lock();
-    for lease in leases {
-        if !table.renew_lease(*lease) {
-            table.revoke_lease(*lease);
+/// Removes keys put under a lapsed lease when their call ends, even by a kill of its node. The
+/// service refuses such puts, the stand-in does not.
+struct LapsedPuts {
+    kv: KvStandin,
+    leases: BTreeSet<ids::LeaseId>,
+}
+
+impl Drop for LapsedPuts {
+    fn drop(&mut self) {
+        let mut table = self.kv.table.lock();
+        for lease in &self.leases {
+            if !table.renew_lease(*lease) {
+                table.revoke_lease(*lease);
+            }
         }
     }
 }
