--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -46,8 +46,11 @@
   rows @1 :List(MemberRow);
   # Bit per bucket: set when the digests of both tables agree.
   matching @2 :UInt64;
-  # Ages of the members of the matching buckets, in table order.
+  # For each matching bucket the number of its members and their ages, in table order.
   ages @3 :Data;
+  # Ages of the members of the other buckets: the first 24 bits of the hash of the
+  # name, then 8 bits of age.
+  keyedAges @4 :List(UInt32);
 }
 
 interface Peer {
--- a/src/member_age.rs
+++ b/src/member_age.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::member_digest;
+
 /// Step of an age.
 const AGE_UNIT: Duration = Duration::from_millis(50);
 /// Age of a node without an exchange, or with one longer ago than 12.7 s.
@@ -35,6 +37,16 @@
         self.0
     }
 
+    /// Age below the key of a name's hash.
+    pub fn keyed(self, hash: u64) -> u32 {
+        member_digest::hash_key(hash) << 8 | u32::from(self.0)
+    }
+
+    /// Age and key of the name's hash.
+    pub fn from_keyed(keyed: u32) -> (Self, u32) {
+        (Self(keyed as u8), keyed >> 8)
+    }
+
     /// Time of the exchange, when the age was true no earlier than at `reference`.
     ///
     /// `None` when the age is unknown or the exchange precedes the node's start.
--- a/src/member_choice.rs
+++ b/src/member_choice.rs
@@ -17,16 +17,19 @@
 const FAN_OUT: usize = 4;
 /// Watchers per data centre.
 const WATCHERS: usize = 2;
-/// Chance that the distant target is a dead member of the list. Without such
-/// attempts the two sides of a partition stay dead to each other once it has healed.
-const DEAD_TARGET_CHANCE: f64 = 0.125;
+/// Chance that the distant target is a listed member that is dead or did not answer.
+/// Without such attempts the two sides of a partition stay dead to each other once it
+/// has healed.
+const LOST_TARGET_CHANCE: f64 = 0.125;
 
 /// Members of one choice.
 pub type ChosenMembers<'a> = SmallVec<[&'a member_row::MemberEntry; 4]>;
 
 /// Up to 3 random targets of a heartbeat: 2 in the node's own data centre, 1 elsewhere.
 ///
-/// When a group is too small, the others fill in, dead members of the list last.
+/// When a group is too small, the others fill in. Members that are dead or did not
+/// answer come last: after a cut, heartbeats lost on them would leave a bare majority
+/// too few exchanges to be seen by all of its nodes.
 pub fn heartbeat_targets<'a>(
     table: &'a member_table::MemberTable,
     now: Duration,
@@ -37,12 +40,13 @@
     let far = |entry: &&member_row::MemberEntry| entry.row.data_centre != *own_data_centre;
     let mut targets = ChosenMembers::new();
     add_random(&mut targets, reachable(table, now).filter(near), NEAR_TARGETS, random);
-    if random.random_bool(DEAD_TARGET_CHANCE) {
-        add_random(&mut targets, dead_listed(table, now), TARGETS, random);
+    if random.random_bool(LOST_TARGET_CHANCE) {
+        let total = targets.len() + 1;
+        add_random(&mut targets, lost(table, now), total, random);
     }
     add_random(&mut targets, reachable(table, now).filter(far), TARGETS, random);
     add_random(&mut targets, reachable(table, now), TARGETS, random);
-    add_random(&mut targets, dead_listed(table, now), TARGETS, random);
+    add_random(&mut targets, lost(table, now), TARGETS, random);
     targets
 }
 
@@ -78,20 +82,24 @@
     watchers(table, now, &table.own_entry().row.data_centre).contains(&&**table.own_name())
 }
 
-/// Other members that are not dead.
+/// Other members that are not dead and answer.
 fn reachable(
     table: &member_table::MemberTable,
     now: Duration,
 ) -> impl Iterator<Item = &member_row::MemberEntry> {
-    others(table).filter(move |entry| entry.state(now) != member_row::MemberState::Dead)
+    others(table).filter(move |entry| answers(entry, now))
 }
 
-fn dead_listed(
+/// Other members of the list that are dead or do not answer.
+fn lost(
     table: &member_table::MemberTable,
     now: Duration,
 ) -> impl Iterator<Item = &member_row::MemberEntry> {
-    others(table)
-        .filter(move |entry| entry.listed && entry.state(now) == member_row::MemberState::Dead)
+    others(table).filter(move |entry| entry.listed && !answers(entry, now))
+}
+
+fn answers(entry: &member_row::MemberEntry, now: Duration) -> bool {
+    entry.state(now) != member_row::MemberState::Dead && !entry.unanswered()
 }
 
 fn others(table: &member_table::MemberTable) -> impl Iterator<Item = &member_row::MemberEntry> {
--- a/src/member_digest.rs
+++ b/src/member_digest.rs
@@ -21,6 +21,12 @@
     usize::try_from(hash >> BUCKET_SHIFT).expect("a bucket number has six bits")
 }
 
+/// First 24 bits of a hash. Among 1,300 names the key of an unknown one equals that of
+/// a known one with a chance below 1 in 10,000.
+pub fn hash_key(hash: u64) -> u32 {
+    (hash >> 40) as u32
+}
+
 /// Digest of a row; 0 for a row from the list, which not all nodes have.
 pub fn row_digest(row: &member_row::MemberRow) -> u32 {
     if row.incarnation == 0 {
--- a/src/member_row.rs
+++ b/src/member_row.rs
@@ -64,11 +64,16 @@
     pub row: MemberRow,
     /// Whether the last instance list read contains the node.
     pub listed: bool,
+    /// Whether that list says that the node is leaving. It is not part of the row: a
+    /// restarted node would otherwise stay leaving, as the list lags behind its restart.
+    pub list_leaving: bool,
     /// Latest time at which the node is believed to have lived.
     pub heard_at: Duration,
     /// Latest time at which the node provably took part in an answered heartbeat,
     /// with this node or with one that passed the age on.
     pub exchanged_at: Option<Duration>,
+    /// Time at which a heartbeat of this node to it was found unanswered.
+    pub unanswered_at: Option<Duration>,
     /// Heartbeats that still carry the row as a changed one.
     pub(crate) sends_left: u8,
     pub(crate) hash: u64,
@@ -80,11 +85,16 @@
         match now.saturating_sub(self.heard_at) {
             age if age >= DEAD_AFTER => MemberState::Dead,
             age if age >= SUSPECT_AFTER => MemberState::Suspect,
-            _ if self.row.leaving => MemberState::Leaving,
+            _ if self.row.leaving || self.list_leaving => MemberState::Leaving,
             _ => MemberState::Live,
         }
     }
 
+    /// Whether the node has not been seen to answer since a heartbeat to it failed.
+    pub fn unanswered(&self) -> bool {
+        self.unanswered_at > self.exchanged_at
+    }
+
     /// Notes that the node lived at a time.
     pub(crate) fn hear(&mut self, at: Duration) {
         self.heard_at = self.heard_at.max(at);
--- a/src/member_table.rs
+++ b/src/member_table.rs
@@ -5,12 +5,14 @@
 //! caller can bound the transit time: a reply proves its ages for the moment at
 //! which the request was sent. Rows are spread over 64 buckets by the hash of
 //! their name. Buckets with equal digests hold the same rows, so their ages need
-//! no names; for the others the replier sends whole rows.
+//! no names. For the others the replier sends rows, and ages with a part of the
+//! hash, because ages must get through while many nodes join or leave at once.
 
 use std::time::Duration;
 
 use crate::{
-    ids, instance_list, member_age, member_digest, member_reach, member_row, peer_message,
+    ids, instance_list, member_age, member_digest, member_exchange, member_reach, member_row,
+    peer_message,
 };
 
 /// Rows in a heartbeat besides the sender's own.
@@ -132,8 +134,20 @@
             self.merge_row(aged, now, member_row::MemberEntry::hear);
         }
         let rows = self.reply_rows(now, &heartbeat.digests);
-        let (matching, ages) = self.matching_ages(now, &heartbeat.digests);
-        peer_message::HeartbeatReply { status, rows, matching, ages }
+        let mut reply = peer_message::HeartbeatReply {
+            status,
+            rows,
+            ..peer_message::HeartbeatReply::default()
+        };
+        self.touch_own(now);
+        member_exchange::add_ages(
+            &mut self.entries,
+            &self.digests,
+            now,
+            &heartbeat.digests,
+            &mut reply,
+        );
+        reply
     }
 
     /// Merges the reply to a heartbeat.
@@ -143,12 +157,26 @@
         sent: &peer_message::Heartbeat,
         reply: &peer_message::HeartbeatReply,
     ) {
-        self.merge_ages(sent_at, &sent.digests, reply);
+        member_exchange::merge_ages(
+            &mut self.entries,
+            &self.digests,
+            sent_at,
+            &sent.digests,
+            reply,
+        );
+        member_exchange::merge_keyed_ages(&mut self.entries, sent_at, &reply.keyed_ages);
         for aged in &reply.rows {
             self.merge_row(aged, sent_at, member_row::MemberEntry::exchange);
         }
     }
 
+    /// Notes that a heartbeat or push to a node was not answered.
+    pub fn note_unanswered(&mut self, now: Duration, name: &str) {
+        if let Ok(position) = self.position(member_digest::name_hash(name), name) {
+            self.entries[position].unanswered_at = Some(now);
+        }
+    }
+
     /// Merges the entry instances of an instance list read now.
     ///
     /// A listed instance is known before its first heartbeat. `Leaving` is obeyed
@@ -156,6 +184,7 @@
     pub fn merge_list(&mut self, now: Duration, list: &[instance_list::ListedInstance]) {
         for entry in &mut self.entries {
             entry.listed = false;
+            entry.list_leaving = false;
         }
         for listed in list {
             self.merge_listed(now, listed);
@@ -187,7 +216,7 @@
         };
         let row = member_row::MemberRow {
             incarnation: 0,
-            leaving: listed.state == instance_list::InstanceState::Leaving,
+            leaving: false,
             name: listed.name.clone(),
             address: listed.address,
             peer_address,
@@ -197,13 +226,11 @@
             Ok(position) => position,
             Err(_) => self.insert(row.clone(), now),
         };
-        self.entries[position].listed = true;
-        let known = &self.entries[position].row;
-        if known.incarnation == 0 {
-            self.entries[position].row = row;
-        } else if row.leaving && !known.leaving && known.peer_address == row.peer_address {
-            let left = member_row::MemberRow { leaving: true, ..known.clone() };
-            self.replace(position, left);
+        let entry = &mut self.entries[position];
+        entry.listed = true;
+        entry.list_leaving = listed.state == instance_list::InstanceState::Leaving;
+        if entry.row.incarnation == 0 {
+            entry.row = row;
         }
     }
 
@@ -232,39 +259,13 @@
         }
     }
 
-    /// Outbids a row of an earlier start of this node; obeys the list's `Leaving`.
+    /// Outbids a row of an earlier start of this node.
     fn merge_own(&mut self, position: usize, row: &member_row::MemberRow) {
         let own = &self.entries[position].row;
         if row.incarnation > own.incarnation {
-            let outbid = member_row::MemberRow { incarnation: row.incarnation + 1, ..own.clone() };
+            let incarnation = row.incarnation.saturating_add(1);
+            let outbid = member_row::MemberRow { incarnation, ..own.clone() };
             self.replace(position, outbid);
-        } else if row.incarnation == own.incarnation && row.leaving && !own.leaving {
-            let left = member_row::MemberRow { leaving: true, ..own.clone() };
-            self.replace(position, left);
-        }
-    }
-
-    fn merge_ages(
-        &mut self,
-        sent_at: Duration,
-        sent: &member_digest::TableDigest,
-        reply: &peer_message::HeartbeatReply,
-    ) {
-        let mut rest = reply.ages.as_slice();
-        for bucket in (0..member_digest::DIGEST_BUCKETS).filter(|b| reply.matching >> b & 1 == 1) {
-            let Some((&count, tail)) = rest.split_first() else { return };
-            let Some((ages, tail)) = tail.split_at_checked(usize::from(count)) else { return };
-            rest = tail;
-            // The table may have changed while the heartbeat was under way.
-            if self.digests[bucket] != sent[bucket] {
-                continue;
-            }
-            let entries = bucket_entries(&mut self.entries, bucket);
-            for (entry, &byte) in entries.filter(|entry| entry.row.incarnation > 0).zip(ages) {
-                if let Some(at) = member_age::MemberAge::from_byte(byte).time_before(sent_at) {
-                    entry.exchange(at);
-                }
-            }
         }
     }
 
@@ -282,7 +283,7 @@
                 continue;
             }
             self.next_bucket = (bucket + 1) % member_digest::DIGEST_BUCKETS;
-            for entry in bucket_entries(&mut self.entries, bucket) {
+            for entry in member_exchange::bucket_entries(&mut self.entries, bucket) {
                 if rows.len() > CHANGED_ROWS {
                     return rows;
                 }
@@ -294,36 +295,6 @@
         rows
     }
 
-    fn matching_ages(
-        &mut self,
-        now: Duration,
-        other: &member_digest::TableDigest,
-    ) -> (u64, Vec<u8>) {
-        self.touch_own(now);
-        let (mut matching, mut ages) = (0, Vec::with_capacity(self.entries.len()));
-        for (bucket, digest) in other.iter().enumerate() {
-            if self.digests[bucket] != *digest {
-                continue;
-            }
-            let start = ages.len();
-            ages.push(0);
-            let entries = bucket_entries(&mut self.entries, bucket);
-            ages.extend(
-                entries
-                    .filter(|entry| entry.row.incarnation > 0)
-                    .map(|entry| member_age::MemberAge::since(entry.exchanged_at, now).byte()),
-            );
-            match u8::try_from(ages.len() - start - 1) {
-                Ok(count) if count > 0 => {
-                    ages[start] = count;
-                    matching |= 1 << bucket;
-                }
-                _ => ages.truncate(start),
-            }
-        }
-        (matching, ages)
-    }
-
     fn own_row(&mut self, now: Duration) -> peer_message::AgedRow {
         self.touch_own(now);
         aged_row(self.own_entry(), now)
@@ -349,8 +320,10 @@
         let entry = member_row::MemberEntry {
             row,
             listed: false,
+            list_leaving: false,
             heard_at,
             exchanged_at: None,
+            unanswered_at: None,
             sends_left: CHANGE_SENDS,
             hash,
         };
@@ -376,13 +349,3 @@
     let age = member_age::MemberAge::since(entry.exchanged_at, now);
     peer_message::AgedRow { row: entry.row.clone(), age }
 }
-
-fn bucket_entries(
-    entries: &mut [member_row::MemberEntry],
-    bucket: usize,
-) -> impl Iterator<Item = &mut member_row::MemberEntry> {
-    let start = entries.partition_point(|entry| member_digest::bucket_of(entry.hash) < bucket);
-    entries[start..]
-        .iter_mut()
-        .take_while(move |entry| member_digest::bucket_of(entry.hash) == bucket)
-}
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -49,7 +49,7 @@
 }
 
 /// Reply to a heartbeat.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HeartbeatReply {
     /// Status of the replier.
     pub status: NodeStatus,
@@ -57,8 +57,11 @@
     pub rows: Vec<AgedRow>,
     /// Bit per bucket: set when the digests of both tables agree.
     pub matching: u64,
-    /// Ages of the members of the matching buckets, in table order.
+    /// For each matching bucket the number of its members and their ages, in table order.
     pub ages: Vec<u8>,
+    /// Ages of the members of the other buckets, each below the first 24 bits of the
+    /// hash of the name.
+    pub keyed_ages: Vec<u32>,
 }
 
 /// New changes, and rows of the instance list that changed.
--- a/src/peer_wire.rs
+++ b/src/peer_wire.rs
@@ -58,6 +58,10 @@
     write_rows(&reply.rows, builder.reborrow().init_rows(list_length(reply.rows.len())));
     builder.set_matching(reply.matching);
     builder.set_ages(&reply.ages);
+    let mut keyed_ages = builder.init_keyed_ages(list_length(reply.keyed_ages.len()));
+    for (index, &keyed) in (0..).zip(&reply.keyed_ages) {
+        keyed_ages.set(index, keyed);
+    }
 }
 
 /// Reads the reply to a heartbeat.
@@ -72,6 +76,7 @@
         rows: read_rows(reader.get_rows()?)?,
         matching: reader.get_matching(),
         ages: reader.get_ages()?.to_vec(),
+        keyed_ages: reader.get_keyed_ages()?.iter().collect(),
     })
 }
 
