Share message types between the peers and the modules behind them

Cause: the calls between nodes carried their own copies of quota, claim, bill and evidence types, which would have to be converted field by field. Change: the calls carry the modules' types; the contract test covers each.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,7 +59,7 @@
 pub mod member_age;
 pub mod member_choice;
 pub mod member_digest;
-mod member_exchange;
+pub mod member_exchange;
 pub mod member_reach;
 pub mod member_row;
 pub mod member_table;
--- a/tests/peer_contract.rs
+++ b/tests/peer_contract.rs
@@ -8,6 +8,10 @@
 use futures::FutureExt as _;
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use yuccareel::bill_ledger::BillCopy;
+use yuccareel::bill_line::{BillLine, BillStep};
+use yuccareel::claim_record::ClaimAnswer;
+use yuccareel::cold_start::WarmupSign;
 use yuccareel::config_change::ConfigChange;
 use yuccareel::instance_list::{InstanceRole, InstanceState, ListedInstance};
 use yuccareel::member_age::MemberAge;
@@ -18,6 +22,11 @@
 use yuccareel::peer_handshake::{self, HandshakeError, SharedSecret};
 use yuccareel::peer_message::*;
 use yuccareel::peer_service::PeerService;
+use yuccareel::quota_message::*;
+use yuccareel::records::rollout::RolloutRecord;
+use yuccareel::rollout_evidence::{EvidenceBlock, EvidenceReport, VersionEvidence};
+use yuccareel::rollout_stage::RolloutState;
+use yuccareel::session_table::{SessionModel, SessionPin};
 
 const LIMIT: Duration = Duration::from_secs(5);
 
@@ -56,8 +65,8 @@
     fn fetch_changes(&self, request: FetchRequest) -> Answer<FetchReply> {
         self.note(request, fetch_reply())
     }
-    fn request_quota(&self, request: QuotaRequest) -> Answer<QuotaReply> {
-        self.note(request, QuotaReply { granted: vec![share()], lease_ms: 2_000 })
+    fn request_quota(&self, request: ShareRequest) -> Answer<ShareReply> {
+        self.note(request, share_reply())
     }
     fn hand_over_quota(&self, handover: QuotaHandover) -> Answer<()> {
         self.note(handover, ())
@@ -65,16 +74,16 @@
     fn report_cold(&self, report: ColdReport) -> Answer<()> {
         self.note(report, ())
     }
-    fn pin_session(&self, pin: SessionPin) -> Answer<SessionPin> {
-        self.note(&pin, SessionPin { version: "v1".into(), ..pin.clone() })
+    fn pin_session(&self, request: PinRequest) -> Answer<SessionPin> {
+        self.note(&request, SessionPin { version: "v1".into(), ..request.pin.clone() })
     }
-    fn look_up_session(&self, name: SessionName) -> Answer<Option<SessionPin>> {
-        let found = (&*name.session == "known").then(|| pin("known"));
-        self.note(name, found)
+    fn look_up_session(&self, key: SessionModel) -> Answer<Option<SessionPin>> {
+        let found = (&*key.session == "known").then(pin);
+        self.note(key, found)
     }
-    /// Refuses, panics or takes long, by the claim key.
+    /// Refuses, panics or takes long, by the claimant.
     fn claim(&self, request: ClaimRequest) -> Answer<ClaimReply> {
-        match &*request.key {
+        match &*request.claimant {
             "refused" => async { Err(PeerRefusal("no longer owner".to_owned())) }.boxed(),
             "broken" => async { panic!("handler fault") }.boxed(),
             "slow" => {
@@ -91,14 +100,11 @@
     fn finish_claim(&self, request: FinishRequest) -> Answer<()> {
         self.note(request, ())
     }
-    fn copy_bills(&self, copies: BillCopies) -> Answer<()> {
-        self.note(copies, ())
+    fn copy_bills(&self, copy: BillCopy) -> Answer<()> {
+        self.note(copy, ())
     }
-    fn bills_flushed(&self, flushed: BillsFlushed) -> Answer<()> {
-        self.note(flushed, ())
-    }
-    fn send_evidence(&self, report: EvidenceReport) -> Answer<()> {
-        self.note(report, ())
+    fn send_evidence(&self, report: EvidenceReport) -> Answer<RolloutStates> {
+        self.note(report, rollout_states())
     }
 }
 
@@ -167,22 +173,78 @@
     FetchReply { configuration: FetchedConfig::Changes(vec![config_change()]), instances }
 }
 
-fn share() -> QuotaShare {
-    QuotaShare { resource: "replica/engine-1".into(), amount: u64::MAX }
+fn resource() -> ResourceKey {
+    ResourceKey::new(ResourceKind::ReplicaConcurrency, "engine-1")
+}
+
+fn share_request() -> ShareRequest {
+    let (wanted, in_use, used, period) = (u64::MAX, 3, 17, 2);
+    let want = ShareWant { resource: resource(), wanted, in_use, used, period };
+    let wants = vec![want].into();
+    ShareRequest { node: "a".into(), incarnation: u64::MAX, number: 5, applied: 4, wants }
+}
+
+fn share_reply() -> ShareReply {
+    let leased = GrantOutcome::Leased { amount: 2, quantity: u64::MAX, cold: true, epoch: 9 };
+    let grants =
+        [leased, GrantOutcome::NoHome].map(|outcome| ShareGrant { resource: resource(), outcome });
+    ShareReply { number: 5, grants: grants.to_vec().into() }
 }
 
-fn pin(session: &str) -> SessionPin {
-    let name = SessionName { customer: "grower".into(), session: session.into() };
-    SessionPin { name, model: "assistant".into(), version: "v2".into() }
+fn session(name: &str) -> SessionModel {
+    SessionModel { customer: "grower".into(), session: name.into(), model: "assistant".into() }
 }
 
-fn claim(key: &str) -> ClaimRequest {
-    ClaimRequest { claimant: "a".into(), key: key.into(), digest: "d".into() }
+fn pin() -> SessionPin {
+    SessionPin { version: "v2".into(), moves: 3 }
+}
+
+fn claim(claimant: &str) -> ClaimRequest {
+    let (key, fingerprint) = ([0xfe; 32], [1; 32]);
+    ClaimRequest { claimant: claimant.into(), key, fingerprint, request: u128::MAX - 1 }
 }
 
 fn claim_answer() -> ClaimAnswer {
-    let body = Bytes::from_static(&[0, 159, 255, b'"']);
-    ClaimAnswer { status: 201, content_type: Some("text/plain".to_owned()), body }
+    ClaimAnswer::new(201, "text/plain", Bytes::from_static(&[0, 159, 255, b'"']))
+}
+
+fn rollout_states() -> RolloutStates {
+    let record = RolloutRecord {
+        name: "r".into(),
+        model: "assistant".into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        stages: vec![0.1, 1.0],
+        stage_dwell_s: 1,
+        stage_min_requests: 1,
+        max_error_rise: 0.1,
+        max_quality_fall: 0.1,
+        paused: false,
+    };
+    [("r".into(), RolloutState::new(&record))].into()
+}
+
+fn evidence() -> EvidenceReport {
+    let to = VersionEvidence { requests: 10, errors: 1, rated: 8, rated_bad: 3, slow: 2 };
+    EvidenceReport {
+        rollout: "r".into(),
+        sender: "a@1".into(),
+        sequence: 6,
+        block: EvidenceBlock { from: VersionEvidence::default(), to },
+        stopped: ["b@2".into()].into(),
+    }
+}
+
+fn bill_copy() -> BillCopy {
+    let step = BillStep {
+        model: "assistant".into(),
+        version: "v2".into(),
+        prompt_tokens: 1,
+        completion_tokens: 2,
+        cost: u64::MAX,
+    };
+    let line = BillLine { request: u128::MAX, customer: "grower".into(), steps: [step].into() };
+    BillCopy { instance: "a@1".into(), flushed: 2, bills: vec![(3, line)] }
 }
 
 struct Served {
@@ -221,35 +283,32 @@
     };
     check!(push_change, push, PushReply { sequence: 9 });
     check!(fetch_changes, FetchRequest { after: 8, with_instances: true }, fetch_reply());
-    let quota = QuotaRequest { holder: "a".into(), wanted: vec![share()] };
-    check!(request_quota, quota, QuotaReply { granted: vec![share()], lease_ms: 2_000 });
-    let outstanding = OutstandingShare { holder: "b".into(), share: share(), left_ms: 1_500 };
-    let handover = QuotaHandover { home: "a".into(), shares: vec![outstanding] };
-    check!(hand_over_quota, handover, ());
-    let report = ColdReport { replica: "engine-1".into(), boot: Some("b7".into()) };
-    check!(report_cold, report, ());
-    check!(pin_session, pin("s"), SessionPin { version: "v1".into(), ..pin("s") });
-    check!(look_up_session, pin("known").name, Some(pin("known")));
-    check!(look_up_session, pin("other").name, None);
-    check!(claim, claim("k"), ClaimReply::Finished(claim_answer()));
-    let finish = |answer| FinishRequest { claimant: "a".into(), key: "k".into(), answer };
+    check!(request_quota, share_request(), share_reply());
+    let shares =
+        vec![HandedShare { node: "b".into(), incarnation: 7, amount: 3, used: 12, period: 1 }];
+    let warmup = Some(HandedWarmup { limit: 4, boot: Some("b7".into()), epoch: 8 });
+    let resources = vec![ResourceHandover { resource: resource(), shares, warmup }];
+    check!(hand_over_quota, QuotaHandover { home: "a".into(), resources }, ());
+    for sign in [
+        WarmupSign::Answers(3),
+        WarmupSign::Boot("b7".into()),
+        WarmupSign::Refused,
+        WarmupSign::SlowFirstToken,
+        WarmupSign::Report { boot: "b7".into(), cold: true },
+        WarmupSign::Returned,
+    ] {
+        check!(report_cold, ColdReport { replica: "engine-1".into(), sign }, ());
+    }
+    let pinned = SessionPin { version: "v1".into(), ..pin() };
+    check!(pin_session, PinRequest { key: session("s"), pin: pin() }, pinned);
+    check!(look_up_session, session("known"), Some(pin()));
+    check!(look_up_session, session("other"), None);
+    check!(claim, claim("a@1"), ClaimReply::Finished(claim_answer()));
+    let finish = |answer| FinishRequest { key: [7; 32], request: 9, answer };
     check!(finish_claim, finish(Some(claim_answer())), ());
     check!(finish_claim, finish(None), ());
-    let bill = BillCopy { number: 3, bill: serde_json::json!({ "cost": 12 }) };
-    check!(copy_bills, BillCopies { instance: "a".into(), bills: vec![bill] }, ());
-    check!(bills_flushed, BillsFlushed { instance: "a".into(), through: 3 }, ());
-    let version = VersionEvidence {
-        rollout: "r".into(),
-        version: "v2".into(),
-        requests: 10,
-        errors: 1,
-        rated: 8,
-        rating_sum: 6.5,
-        slow: 2,
-        stopped: true,
-    };
-    let evidence = EvidenceReport { sender: "a".into(), number: 1, versions: vec![version] };
-    check!(send_evidence, evidence, ());
+    check!(copy_bills, bill_copy(), ());
+    check!(send_evidence, evidence(), rollout_states());
 }
 
 /// Guards against a fault of one call that harms others on the connection, and against an
