--- a/tests/route_decision.rs
+++ b/tests/route_decision.rs
@@ -208,6 +208,14 @@
             change: |s| s.shares = ShareTable::new("node".into(), 1),
             reason: Some(Reason::ColdStart),
         },
+        Case {
+            name: "lease over while idle, reported warm",
+            change: |s| {
+                s.shares = idle_until(NOW);
+                s.set_rows(|row| row.report = Some(report(0, false, "b1", NOW)));
+            },
+            reason: Some(Reason::ColdStart),
+        },
         Case {
             name: "lease over, state unknown",
             change: |s| s.shares = leased_until(NOW),
@@ -249,8 +257,15 @@
     }
 }
 
-/// Shares whose lease ends at a time.
+/// Shares whose lease ends at a time, with a renewal that stays without an answer.
 fn leased_until(ends_at: Duration) -> ShareTable {
+    let mut table = idle_until(ends_at);
+    drop(table.requests(ends_at - ms(600), &["home".into()]));
+    table
+}
+
+/// Shares whose lease ends at a time, without a renewal.
+fn idle_until(ends_at: Duration) -> ShareTable {
     shares(ReplicaConcurrency, &[("a", 2, 8, false), ("b", 2, 8, false)], ends_at - ms(2_000))
 }
 
