--- a/tests/config_log.rs
+++ b/tests/config_log.rs
@@ -49,42 +49,24 @@
 /// Guards against changes that are applied twice, out of order or over a newer snapshot.
 #[test]
 fn only_the_next_change_is_applied() {
+    type Apply = fn(&mut ConfigLog) -> ApplyOutcome;
     struct Case {
         name: &'static str,
         outcome: ApplyOutcome,
-        apply: fn(&mut ConfigLog) -> ApplyOutcome,
+        apply: Apply,
         sequence: u64,
     }
     use ApplyOutcome::{Applied, Gap, Known};
+    let case = |name, outcome, apply: Apply, sequence| Case { name, outcome, apply, sequence };
     let cases = [
-        Case { name: "next", outcome: Applied, apply: |log| log.apply(change(5)), sequence: 5 },
-        Case { name: "same", outcome: Known, apply: |log| log.apply(change(4)), sequence: 4 },
-        Case { name: "older", outcome: Known, apply: |log| log.apply(change(1)), sequence: 4 },
-        Case { name: "gap", outcome: Gap, apply: |log| log.apply(change(6)), sequence: 4 },
-        Case {
-            name: "newer snapshot",
-            outcome: Applied,
-            apply: |log| log.apply_snapshot(snapshot_of(9)),
-            sequence: 9,
-        },
-        Case {
-            name: "same snapshot",
-            outcome: Known,
-            apply: |log| log.apply_snapshot(snapshot_of(4)),
-            sequence: 4,
-        },
-        Case {
-            name: "older snapshot",
-            outcome: Known,
-            apply: |log| log.apply_snapshot(snapshot_of(2)),
-            sequence: 4,
-        },
-        Case {
-            name: "empty snapshot",
-            outcome: Known,
-            apply: |log| log.apply_snapshot(ConfigSnapshot::default()),
-            sequence: 4,
-        },
+        case("next", Applied, |log| log.apply(change(5)), 5),
+        case("same", Known, |log| log.apply(change(4)), 4),
+        case("older", Known, |log| log.apply(change(1)), 4),
+        case("gap", Gap, |log| log.apply(change(6)), 4),
+        case("newer snapshot", Applied, |log| log.apply_snapshot(snapshot_of(9)), 9),
+        case("same snapshot", Known, |log| log.apply_snapshot(snapshot_of(4)), 4),
+        case("older snapshot", Known, |log| log.apply_snapshot(snapshot_of(2)), 4),
+        case("empty snapshot", Known, |log| log.apply_snapshot(ConfigSnapshot::default()), 4),
     ];
     for case in cases {
         let mut log = log_of(4);
