--- a/src/member_table.rs
+++ b/src/member_table.rs
@@ -247,7 +247,6 @@
         }
         let position = match self.position(member_digest::name_hash(&row.name), &row.name) {
             Ok(position) if row.name == self.own => return self.merge_own(position, row),
-            Ok(position) if self.entries[position].row.incarnation > row.incarnation => return,
             Ok(position) => position,
             Err(_) => self.insert(row.clone(), reference),
         };
--- a/tests/config_log.rs
+++ b/tests/config_log.rs
@@ -118,6 +118,9 @@
     assert_eq!(behind.apply_fetched(log.changes_after(0)), ApplyOutcome::Applied);
     assert_eq!(behind.snapshot().records(), log.snapshot().records());
     assert!(matches!(behind.changes_after(5), FetchedConfig::Snapshot { .. }), "history unknown");
+    let mut jumped = log_of(4);
+    jumped.apply_snapshot(snapshot_of(9));
+    assert!(matches!(jumped.changes_after(8), FetchedConfig::Snapshot { .. }), "history of 1 to 4");
 }
 
 proptest! {
