Test delayed claim writes and chains that a side only reads

Cause: trials with single rules removed (segment compare, withdrawal of a refused start, release for a gone claimant) passed all tests. Change: a fault case per rule, and a property action that reads without writing.

--- a/tests/claim_faults.rs
+++ b/tests/claim_faults.rs
@@ -110,6 +110,60 @@
     }
 }
 
+/// Guards against a delayed earlier write that replaces a later one, a refused start that
+/// blocks its key at the successor, and a key held by a claimant that is gone.
+#[tokio::test(start_paused = true)]
+async fn delayed_writes_change_nothing() {
+    enum Course {
+        /// The call is answered before its first write arrives.
+        Finished,
+        /// All writes arrive after the refusal.
+        Refused,
+        /// An outage refuses the claim, then its first write arrives, then another key is used.
+        RefusedThenOther,
+        /// The claimant goes away before the write is confirmed.
+        ClaimantGone,
+    }
+    let shard = |key| claim_record::shard_of(&claim(key, 0, "").key);
+    let other = (2..=u8::MAX).find(|key| shard(*key) == shard(1)).unwrap();
+    for (course, expected) in [
+        (Course::Finished, "replay"),
+        (Course::Refused, "run"),
+        (Course::RefusedThenOther, "run"),
+        (Course::ClaimantGone, "run"),
+    ] {
+        let (kv, node) = one_owner().await;
+        let refused = matches!(course, Course::Refused);
+        node.kv.delay_commits(if refused { 4 } else { 1 }, Duration::from_millis(600));
+        let start = node.claims.claim(claim(1, 1, "a"));
+        match course {
+            Course::Finished => {
+                assert_eq!(verdict_name(&start.await), "run");
+                node.claims.finish(claim(1, 0, "a").key, 1, answer("booked")).unwrap();
+            }
+            Course::Refused => assert_eq!(verdict_name(&start.await), "unavailable"),
+            Course::RefusedThenOther => {
+                let outage = async {
+                    sleep(Duration::from_millis(20)).await;
+                    kv.faults.lock().outage = true;
+                };
+                let (verdict, ()) = tokio::join!(start, outage);
+                assert_eq!(verdict_name(&verdict), "unavailable");
+                kv.faults.lock().outage = false;
+                sleep(SETTLE).await;
+                assert_eq!(verdict_name(&node.claims.claim(claim(other, 2, "a")).await), "run");
+            }
+            Course::ClaimantGone => {
+                assert!(tokio::time::timeout(Duration::from_millis(10), start).await.is_err());
+            }
+        }
+        sleep(SETTLE).await;
+        let node = successor(&kv, node, &["b"]).await;
+        let verdict = node.claims.claim(claim(1, 3, "b")).await;
+        assert_eq!(verdict_name(&verdict), expected);
+    }
+}
+
 /// Guards against a second run after the owner was killed between two steps, and against a
 /// call that is taken for lost while its serving node lives.
 #[tokio::test(start_paused = true)]
--- a/tests/open_bills.rs
+++ b/tests/open_bills.rs
@@ -14,8 +14,8 @@
 enum Action {
     /// The instance records a bill; each flagged peer receives a copy.
     Record([bool; 2]),
-    /// A side reads the chain up to a number of batches and tries to extend it.
-    Flush(usize, usize),
+    /// A side reads the chain up to a number of batches, and extends it when flagged.
+    Flush(usize, usize, bool),
     /// The instance's report of its flushed bills reaches a peer.
     Report(usize),
 }
@@ -23,18 +23,24 @@
 fn action() -> impl Strategy<Value = Action> {
     proptest::prop_oneof![
         4 => any::<[bool; 2]>().prop_map(Action::Record),
-        3 => (0..3_usize, 0..4_usize).prop_map(|(side, reads)| Action::Flush(side, reads)),
+        3 => (0..3_usize, 0..4_usize, any::<bool>())
+            .prop_map(|(side, reads, writes)| Action::Flush(side, reads, writes)),
         1 => (0..2_usize).prop_map(Action::Report),
     ]
 }
 
 /// Reads some batches, then writes at the end of the chain as far as the side knows it.
-fn flush(chain: &mut BTreeMap<BillNumber, BillBatch>, side: &mut OpenBills, reads: usize) {
+fn flush(
+    chain: &mut BTreeMap<BillNumber, BillBatch>,
+    side: &mut OpenBills,
+    reads: usize,
+    writes: bool,
+) {
     for _ in 0..reads {
         let Some(batch) = chain.get(&(side.flushed() + 1)) else { break };
         side.adopt(batch);
     }
-    if let Some(batch) = side.next_batch() {
+    if let Some(batch) = side.next_batch().filter(|_| writes) {
         let written = chain.entry(batch.first).or_insert(batch).clone();
         side.adopt(&written);
     }
@@ -61,7 +67,9 @@
                         }
                     }
                 }
-                Action::Flush(side, reads) => flush(&mut chain, &mut sides[side], reads),
+                Action::Flush(side, reads, writes) => {
+                    flush(&mut chain, &mut sides[side], reads, writes);
+                }
                 Action::Report(peer) => {
                     let flushed = sides[0].flushed();
                     sides[peer + 1].drop_through(flushed);
@@ -69,7 +77,7 @@
             }
         }
         for _ in 0..200 {
-            sides.iter_mut().for_each(|side| flush(&mut chain, side, 9));
+            sides.iter_mut().for_each(|side| flush(&mut chain, side, 9, true));
         }
         let mut last = 0;
         let mut counts = BTreeMap::new();
