Give up claim shards whose owner key was deleted late

Change: the 30 s read of the owner keys also gives up shards whose key is gone; a claim that loses its shard at its home is refused as unavailable.

--- a/src/claim_lease.rs
+++ b/src/claim_lease.rs
@@ -14,7 +14,8 @@
 /// Time between renewals of the lease.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
 /// Time between reads of the owner keys by a node that wants no shard. A take that arrives
-/// late leaves a key behind that this node does not know of, and blocks the shard's home.
+/// late leaves a key behind that this node does not know of, and blocks the shard's home; a
+/// late deletion takes a key away that this node still counts on.
 const OWNERS_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Wall clock in milliseconds since 1970.
@@ -132,6 +133,20 @@
         Ok(())
     }
 
+    /// Gives up the shards whose owner key is not there any more.
+    fn drop_lost(&self, owners: &[kv_store::KvEntry]) {
+        let mut table = self.table.lock();
+        let held = |number: ids::ShardNumber, fence: ids::KvRevision| {
+            let key = claim_table::owner_key(number);
+            owners.iter().any(|entry| entry.key == key && entry.create_revision == fence)
+        };
+        let shards = table.shards.iter();
+        let lost = shards.filter(|(number, owned)| !held(**number, owned.fence));
+        for number in lost.map(|(number, _)| *number).collect::<Vec<_>>() {
+            table.give_up(number);
+        }
+    }
+
     async fn delete_owner(
         &self,
         number: ids::ShardNumber,
@@ -156,6 +171,7 @@
         let owners =
             kv_deadline::bounded(self.store.range(claim_table::OWNER_PREFIX)).await?.entries;
         self.state.lock().owners_read_at = Some(Instant::now());
+        self.drop_lost(&owners);
         for entry in owners {
             let number = entry.key.rsplit('/').next().and_then(|text| text.parse().ok());
             let Some(number) = number else { continue };
--- a/src/claim_table.rs
+++ b/src/claim_table.rs
@@ -160,14 +160,10 @@
         now_ms: u64,
     ) -> Result<oneshot::Receiver<ClaimVerdict>, ClaimVerdict> {
         let number = claim_record::shard_of(&request.key);
-        let home = self.home(number);
+        let elsewhere = self.not_owned(number);
         let members = &self.members;
         let owned = self.shards.get_mut(&number).filter(|owned| !owned.leaving);
-        let Some(owned) = owned else {
-            let here = home.as_ref() == Some(&self.instance);
-            let loading = ClaimVerdict::Unavailable(ClaimUnavailable::Loading);
-            return Err(if here { loading } else { ClaimVerdict::NotOwner(home) });
-        };
+        let Some(owned) = owned else { return Err(elsewhere) };
         let Some(claims) = &mut owned.claims else {
             return Err(ClaimVerdict::Unavailable(ClaimUnavailable::Loading));
         };
@@ -199,6 +195,16 @@
         Ok(receiver)
     }
 
+    /// Verdict for a shard that this node does not own, or not yet.
+    fn not_owned(&self, number: ids::ShardNumber) -> ClaimVerdict {
+        match self.home(number) {
+            Some(home) if home == self.instance => {
+                ClaimVerdict::Unavailable(ClaimUnavailable::Loading)
+            }
+            home => ClaimVerdict::NotOwner(home),
+        }
+    }
+
     /// Ends a call with its answer, or without one when it was never sent.
     pub fn end(
         &mut self,
@@ -247,10 +253,9 @@
 
     /// Gives a shard up. Ends that are not stored are kept as orphans.
     pub fn give_up(&mut self, number: ids::ShardNumber) {
-        let home = self.home(number);
         let Some(owned) = self.shards.remove(&number) else { return };
         for sender in owned.starts.into_values().flatten() {
-            let _ = sender.send(ClaimVerdict::NotOwner(home.clone()));
+            let _ = sender.send(self.not_owned(number));
         }
         for senders in owned.ends.into_values() {
             notify(Some(senders), &ClaimEnd::Moved);
--- a/tests/open_bills.rs
+++ b/tests/open_bills.rs
@@ -46,6 +46,21 @@
     }
 }
 
+/// Guards against a peer that bills again what the instance has flushed under another number.
+#[test]
+fn report_ends_bills_renumbered_here() {
+    let mut peer = OpenBills::default();
+    peer.insert(1, bill(1, "rungwell"));
+    let without_first =
+        BillBatch { first: 1, last: 1, missing: vec![(1, 1)], customers: BTreeMap::new() };
+    peer.adopt(&without_first);
+    peer.insert(2, bill(2, "rungwell"));
+    peer.insert(3, bill(3, "rungwell"));
+    assert_eq!(peer.next_batch().map(|batch| batch.last), Some(4));
+    peer.drop_through(2);
+    assert!(!peer.contains(1) && !peer.contains(2) && peer.contains(3));
+}
+
 proptest! {
     /// Guards against orders of records, copies, reports and flushes that lose a bill, bill a
     /// request twice, or write ranges that overlap.
