Test takeovers under faults and refuse claims with their reasons

Cause: lost answers during a takeover were only covered by the random schedules, and callers had to map verdicts to refusals themselves. Change: a table of faults while two nodes take their shards; ClaimVerdict::refusal; the fault tables use shorter rows.

--- a/src/claim_table.rs
+++ b/src/claim_table.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::{claim_record, claim_shard, ids, kv_store, rendezvous};
+use crate::{claim_record, claim_shard, error_body, ids, kv_store, refusal_reason, rendezvous};
 
 /// Prefix of the owner keys.
 pub const OWNER_PREFIX: &str = "claim/owner/";
@@ -32,6 +32,28 @@
     NotOwner(Option<ids::InstanceName>),
 }
 
+impl ClaimVerdict {
+    /// Refusal for the caller, where the verdict is one.
+    pub fn refusal(&self) -> Option<error_body::RequestRefusal> {
+        use refusal_reason::RefusalReason;
+        match self {
+            Self::Run | Self::Replay(_) | Self::InProgress(_) | Self::NotOwner(_) => None,
+            Self::UnknownOutcome => Some(error_body::RequestRefusal::unknown(
+                RefusalReason::OutcomeUnknown,
+                "an earlier call under this idempotency key may have run",
+            )),
+            Self::Conflict => Some(error_body::RequestRefusal::not_run(
+                RefusalReason::IdempotencyConflict,
+                "the idempotency key was used for a different request",
+            )),
+            Self::Unavailable(reason) => Some(error_body::RequestRefusal::not_run(
+                RefusalReason::ClaimsUnavailable,
+                reason.to_string(),
+            )),
+        }
+    }
+}
+
 /// End of a call under a key that was in progress.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClaimEnd {
--- a/tests/bill_faults.rs
+++ b/tests/bill_faults.rs
@@ -97,30 +97,20 @@
 /// of its bills, before or after the instance's own write.
 #[tokio::test(start_paused = true)]
 async fn successor_races_the_live_instance() {
-    struct Case {
-        name: &'static str,
-        copied: std::ops::RangeInclusive<u128>,
-        instance_first: bool,
-        late_commits: u32,
-    }
-    let case = |name, copied, instance_first, late_commits| Case {
-        name,
-        copied,
-        instance_first,
-        late_commits,
-    };
+    /// Name, requests that the peer has, whether the instance flushes first, late commits.
+    struct Case(&'static str, std::ops::RangeInclusive<u128>, bool, u32);
     let cases = [
-        case("successor first, all copies", 1..=10, false, 0),
-        case("successor first, early copies", 1..=4, false, 0),
-        case("successor first, late copies", 6..=10, false, 0),
-        case("instance first, late copies", 6..=10, true, 0),
-        case("late write of the instance", 3..=8, false, 1),
+        Case("successor first, all copies", 1..=10, false, 0),
+        Case("successor first, early copies", 1..=4, false, 0),
+        Case("successor first, late copies", 6..=10, false, 0),
+        Case("instance first, late copies", 6..=10, true, 0),
+        Case("late write of the instance", 3..=8, false, 1),
     ];
-    for case in cases {
+    for Case(name, copied, instance_first, late_commits) in cases {
         let (world, instance, peer) = pair();
-        instance.kv.delay_commits(case.late_commits, Duration::from_millis(600));
+        instance.kv.delay_commits(late_commits, Duration::from_millis(600));
         let link = instance.link.peer.lock().take();
-        let (first, last) = (*case.copied.start(), *case.copied.end());
+        let (first, last) = (*copied.start(), *copied.end());
         for request in 1..=10 {
             instance.ledger.record(bill(request, "authority")).await.unwrap();
         }
@@ -128,7 +118,7 @@
         let copy = bill_ledger::BillCopy { instance: "a@1".into(), flushed: 0, bills };
         peer.copies.accept(copy).unwrap();
         *instance.link.peer.lock() = link;
-        if case.instance_first || case.late_commits > 0 {
+        if instance_first || late_commits > 0 {
             sleep(Duration::from_millis(1_100)).await;
         }
         peer.copies.flush_as_successor("a@1").await.unwrap();
@@ -141,9 +131,9 @@
         let faults = audit.findings.iter();
         let faults: Vec<_> =
             faults.filter(|found| !matches!(found, BillFinding::NumbersMissing(..))).collect();
-        assert!(faults.is_empty(), "{}: {faults:?}", case.name);
-        assert_eq!(audit.totals["authority"].bills, 15, "{}", case.name);
-        assert_eq!(peer.copies.open_bills("a@1"), 0, "{}", case.name);
+        assert!(faults.is_empty(), "{}: {faults:?}", name);
+        assert_eq!(audit.totals["authority"].bills, 15, "{}", name);
+        assert_eq!(peer.copies.open_bills("a@1"), 0, "{}", name);
     }
 }
 
@@ -222,9 +212,8 @@
 /// the service, and loss when it returns.
 #[tokio::test(start_paused = true)]
 async fn long_outage_is_bounded() {
-    let world = World::new();
+    let (world, instance, _peer) = pair();
     world.faults.lock().outage = true;
-    let instance = Node::start(&world, "a@1", &[]);
     let mut recorded = 0;
     let overflow = loop {
         match instance.ledger.record(bill(recorded + 1, "rungwell")).await {
--- a/tests/claim_faults.rs
+++ b/tests/claim_faults.rs
@@ -8,6 +8,7 @@
 use ledger_support::{Node, World, answer, claim, verdict_name};
 use tokio::time::sleep;
 use yuccareel::claim_table::{ClaimEnd, ClaimEndError, ClaimVerdict};
+use yuccareel::error_body::RunState;
 use yuccareel::standins::kv::KvFaults;
 use yuccareel::{claim_log, claim_record, claim_shard};
 
@@ -34,50 +35,38 @@
 /// blocks its key, when any write fails in any way.
 #[tokio::test(start_paused = true)]
 async fn faults_during_the_start_run_at_most_once() {
-    struct Case {
-        name: &'static str,
-        faults: KvFaults,
-        late_commits: u32,
-        late_ms: u64,
-        verdict: &'static str,
-    }
+    /// Name, faults of the service, late commits and their delay in ms, expected verdict.
+    struct Case(&'static str, KvFaults, u32, u64, &'static str);
     let none = KvFaults::default;
-    let case = |name, faults, late_commits, late_ms, verdict| Case {
-        name,
-        faults,
-        late_commits,
-        late_ms,
-        verdict,
-    };
     let cases = [
-        case("outage", KvFaults { outage: true, ..none() }, 0, 0, "unavailable"),
-        case("slow", KvFaults { delay_ms: 300, ..none() }, 0, 0, "run"),
-        case("too slow", KvFaults { delay_ms: 9_000, ..none() }, 0, 0, "unavailable"),
-        case("answer lost", KvFaults { lose_answers: 1, ..none() }, 0, 0, "run"),
-        case("write lost", KvFaults { lose_writes: 1, ..none() }, 0, 0, "run"),
-        case("writes lost", KvFaults { lose_writes: 8, ..none() }, 0, 0, "unavailable"),
-        case("write late before the retry", none(), 1, 50, "run"),
-        case("write late after the retry", none(), 1, 500, "run"),
-        case("writes late after the refusal", none(), 4, 700, "unavailable"),
+        Case("outage", KvFaults { outage: true, ..none() }, 0, 0, "unavailable"),
+        Case("slow", KvFaults { delay_ms: 300, ..none() }, 0, 0, "run"),
+        Case("too slow", KvFaults { delay_ms: 9_000, ..none() }, 0, 0, "unavailable"),
+        Case("answer lost", KvFaults { lose_answers: 1, ..none() }, 0, 0, "run"),
+        Case("write lost", KvFaults { lose_writes: 1, ..none() }, 0, 0, "run"),
+        Case("writes lost", KvFaults { lose_writes: 8, ..none() }, 0, 0, "unavailable"),
+        Case("write late before the retry", none(), 1, 50, "run"),
+        Case("write late after the retry", none(), 1, 500, "run"),
+        Case("writes late after the refusal", none(), 4, 700, "unavailable"),
     ];
-    for case in cases {
+    for Case(name, faults, late_commits, late_ms, expected) in cases {
         let (kv, node) = one_owner().await;
-        *kv.faults.lock() = case.faults.clone();
-        node.kv.delay_commits(case.late_commits, Duration::from_millis(case.late_ms));
+        *kv.faults.lock() = faults;
+        node.kv.delay_commits(late_commits, Duration::from_millis(late_ms));
         let first = node.claims.claim(claim(1, 1, "a")).await;
         let left = std::mem::take(&mut *kv.faults.lock());
-        assert!(left.lose_answers == 0 && left.lose_writes <= 4, "{}: {left:?}", case.name);
+        assert!(left.lose_answers == 0 && left.lose_writes <= 4, "{}: {left:?}", name);
         sleep(LEASE_OVER).await;
-        assert_eq!(verdict_name(&first), case.verdict, "{}", case.name);
+        assert_eq!(verdict_name(&first), expected, "{}", name);
         let again = node.claims.claim(claim(1, 2, "a")).await;
-        let expected = if case.verdict == "run" { "in progress" } else { "run" };
-        assert_eq!(verdict_name(&again), expected, "{}: again", case.name);
-        let runner = if case.verdict == "run" { 1 } else { 2 };
+        let second = if expected == "run" { "in progress" } else { "run" };
+        assert_eq!(verdict_name(&again), second, "{}: again", name);
+        let runner = if expected == "run" { 1 } else { 2 };
         node.claims.finish(claim(1, 0, "a").key, runner, answer("booked")).unwrap();
         sleep(SETTLE).await;
         let node = successor(&kv, node, &["b"]).await;
         let last = node.claims.claim(claim(1, 3, "b")).await;
-        assert_eq!(verdict_name(&last), "replay", "{}: successor", case.name);
+        assert_eq!(verdict_name(&last), "replay", "{}: successor", name);
     }
 }
 
@@ -170,30 +159,16 @@
 /// call that is taken for lost while its serving node lives.
 #[tokio::test(start_paused = true)]
 async fn owner_killed_at_each_step() {
-    struct Case {
-        name: &'static str,
-        claimed: bool,
-        finished: bool,
-        stored: bool,
-        members: &'static [&'static str],
-        verdict: &'static str,
-    }
-    let case = |name, claimed, finished, stored, members, verdict| Case {
-        name,
-        claimed,
-        finished,
-        stored,
-        members,
-        verdict,
-    };
+    /// Name; whether the call is claimed, finished and stored; members afterwards; verdict.
+    struct Case(&'static str, bool, bool, bool, &'static [&'static str], &'static str);
     let cases = [
-        case("before the claim", false, false, false, &["b"], "run"),
-        case("serving node died too", true, false, false, &["b"], "unknown"),
-        case("serving node lives", true, false, false, &["b", "s"], "in progress"),
-        case("answer not stored", true, true, false, &["b"], "unknown"),
-        case("answer stored", true, true, true, &["b"], "replay"),
+        Case("before the claim", false, false, false, &["b"], "run"),
+        Case("serving node died too", true, false, false, &["b"], "unknown"),
+        Case("serving node lives", true, false, false, &["b", "s"], "in progress"),
+        Case("answer not stored", true, true, false, &["b"], "unknown"),
+        Case("answer stored", true, true, true, &["b"], "replay"),
     ];
-    for case in cases {
+    for Case(name, claimed, finished, stored, members, expected) in cases {
         let (kv, node) = one_owner().await;
         node.set_members(&["a", "s"]);
         let key = (0..255).find(|key| {
@@ -209,19 +184,19 @@
             home(&["a", "s"]).as_deref() == Some("a") && home(&["b", "s"]).as_deref() == Some("b")
         });
         let key = key.unwrap();
-        if case.claimed {
+        if claimed {
             let verdict = node.claims.claim(claim(key, 1, "s")).await;
-            assert_eq!(verdict_name(&verdict), "run", "{}", case.name);
+            assert_eq!(verdict_name(&verdict), "run", "{}", name);
         }
-        if case.finished {
+        if finished {
             node.claims.finish(claim(key, 0, "s").key, 1, answer("booked")).unwrap();
         }
-        if case.stored {
+        if stored {
             sleep(SETTLE).await;
         }
-        let node = successor(&kv, node, case.members).await;
+        let node = successor(&kv, node, members).await;
         let verdict = node.claims.claim(claim(key, 2, "b")).await;
-        assert_eq!(verdict_name(&verdict), case.verdict, "{}", case.name);
+        assert_eq!(verdict_name(&verdict), expected, "{}", name);
     }
 }
 
@@ -283,6 +258,38 @@
     assert_eq!(waiting.await.unwrap(), ClaimEnd::Finished(answer("booked")));
 }
 
+/// Guards against shards without an owner, or with two, after any write of a takeover fails.
+#[tokio::test(start_paused = true)]
+async fn faults_during_takeover_leave_one_owner() {
+    let none = KvFaults::default;
+    for (name, faults) in [
+        ("outage", KvFaults { outage: true, ..none() }),
+        ("slow", KvFaults { delay_ms: 1_500, ..none() }),
+        ("one answer lost", KvFaults { lose_answers: 1, ..none() }),
+        ("two answers lost", KvFaults { lose_answers: 2, ..none() }),
+        ("two writes lost", KvFaults { lose_writes: 2, ..none() }),
+    ] {
+        let kv = World::new();
+        *kv.faults.lock() = faults;
+        let nodes = ["a", "b"].map(|node| Node::start(&kv, node, &["a", "b"]));
+        sleep(SETTLE).await;
+        *kv.faults.lock() = none();
+        sleep(LEASE_OVER).await;
+        let [a, b] = &nodes;
+        assert_eq!(a.claims.owned_shards().len() + b.claims.owned_shards().len(), 64, "{name}");
+        let verdicts =
+            [a.claims.claim(claim(1, 1, "a")).await, b.claims.claim(claim(1, 2, "b")).await];
+        let (owner, other) = match verdicts {
+            [ClaimVerdict::Run, other] => ("a", other),
+            [other, verdict] => {
+                assert_eq!(verdict_name(&verdict), "run", "{name}");
+                ("b", other)
+            }
+        };
+        assert!(matches!(other, ClaimVerdict::NotOwner(Some(named)) if &*named == owner), "{name}");
+    }
+}
+
 /// Guards against answers to known claims that stop, and new claims that start, during an
 /// outage longer than the lease, and against an answer lost with it.
 #[tokio::test(start_paused = true)]
@@ -300,6 +307,10 @@
         for (key, verdict) in [(1, "replay"), (2, "replay"), (3, "unavailable")] {
             let found = node.claims.claim(claim(key, 9, "a")).await;
             assert_eq!(verdict_name(&found), verdict, "key {key}");
+            let ran = found.refusal().map(|refusal| (refusal.reason.code(), refusal.ran));
+            let refused =
+                (verdict == "unavailable").then_some(("claims_unavailable", RunState::No));
+            assert_eq!(ran, refused, "key {key}");
         }
     }
     kv.faults.lock().outage = false;
