--- a/src/claim_table.rs
+++ b/src/claim_table.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::{claim_record, claim_shard, ids, kv_store, rendezvous};
+use crate::{claim_record, claim_shard, error_body, ids, kv_store, refusal_reason, rendezvous};
 
 /// Prefix of the owner keys.
 pub const OWNER_PREFIX: &str = "claim/owner/";
@@ -32,6 +32,28 @@
     NotOwner(Option<ids::InstanceName>),
 }
 
+impl ClaimVerdict {
+    /// Refusal for the caller, where the verdict is one.
+    pub fn refusal(&self) -> Option<error_body::RequestRefusal> {
+        use refusal_reason::RefusalReason;
+        match self {
+            Self::Run | Self::Replay(_) | Self::InProgress(_) | Self::NotOwner(_) => None,
+            Self::UnknownOutcome => Some(error_body::RequestRefusal::unknown(
+                RefusalReason::OutcomeUnknown,
+                "an earlier call under this idempotency key may have run",
+            )),
+            Self::Conflict => Some(error_body::RequestRefusal::not_run(
+                RefusalReason::IdempotencyConflict,
+                "the idempotency key was used for a different request",
+            )),
+            Self::Unavailable(reason) => Some(error_body::RequestRefusal::not_run(
+                RefusalReason::ClaimsUnavailable,
+                reason.to_string(),
+            )),
+        }
+    }
+}
+
 /// End of a call under a key that was in progress.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClaimEnd {
@@ -160,14 +182,10 @@
         now_ms: u64,
     ) -> Result<oneshot::Receiver<ClaimVerdict>, ClaimVerdict> {
         let number = claim_record::shard_of(&request.key);
-        let home = self.home(number);
+        let elsewhere = self.not_owned(number);
         let members = &self.members;
         let owned = self.shards.get_mut(&number).filter(|owned| !owned.leaving);
-        let Some(owned) = owned else {
-            let here = home.as_ref() == Some(&self.instance);
-            let loading = ClaimVerdict::Unavailable(ClaimUnavailable::Loading);
-            return Err(if here { loading } else { ClaimVerdict::NotOwner(home) });
-        };
+        let Some(owned) = owned else { return Err(elsewhere) };
         let Some(claims) = &mut owned.claims else {
             return Err(ClaimVerdict::Unavailable(ClaimUnavailable::Loading));
         };
@@ -199,6 +217,16 @@
         Ok(receiver)
     }
 
+    /// Verdict for a shard that this node does not own, or not yet.
+    fn not_owned(&self, number: ids::ShardNumber) -> ClaimVerdict {
+        match self.home(number) {
+            Some(home) if home == self.instance => {
+                ClaimVerdict::Unavailable(ClaimUnavailable::Loading)
+            }
+            home => ClaimVerdict::NotOwner(home),
+        }
+    }
+
     /// Ends a call with its answer, or without one when it was never sent.
     pub fn end(
         &mut self,
@@ -247,10 +275,9 @@
 
     /// Gives a shard up. Ends that are not stored are kept as orphans.
     pub fn give_up(&mut self, number: ids::ShardNumber) {
-        let home = self.home(number);
         let Some(owned) = self.shards.remove(&number) else { return };
         for sender in owned.starts.into_values().flatten() {
-            let _ = sender.send(ClaimVerdict::NotOwner(home.clone()));
+            let _ = sender.send(self.not_owned(number));
         }
         for senders in owned.ends.into_values() {
             notify(Some(senders), &ClaimEnd::Moved);
