--- a/src/admission_queue.rs
+++ b/src/admission_queue.rs
@@ -13,6 +13,9 @@
 
 /// One of this many dispatches goes to batch requests while both kinds wait.
 const BATCH_TURN: u32 = 10;
+/// Factor on the expected wait; shares move, and a request queued at the very limit of its
+/// deadline would often be refused only after it has waited.
+const WAIT_MARGIN: f64 = 1.35;
 /// Longest `Retry-After` of a refusal; the rate is no forecast beyond it.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
@@ -118,7 +121,7 @@
         let wait = self.expected_wait(&request);
         let queued =
             self.interactive.queued(&request.customer) + self.batch.queued(&request.customer);
-        let late = now + wait + request.expected > request.deadline;
+        let late = now + wait.mul_f64(WAIT_MARGIN) + request.expected > request.deadline;
         if late || queued >= self.customer_bound(&request.customer) {
             let retry_after = wait.clamp(Duration::from_secs(1), MAX_RETRY_AFTER);
             let reason = RefusalReason::Overloaded;
--- a/src/quota_home.rs
+++ b/src/quota_home.rs
@@ -36,6 +36,7 @@
     node: ids::InstanceName,
     views: VecDeque<MemberView>,
     rows: HashMap<ResourceKey, home_row::HomeRow>,
+    leaving: Vec<ids::InstanceName>,
     last_call: Duration,
     resumed_at: Duration,
     stopped: bool,
@@ -57,6 +58,7 @@
             node,
             views: VecDeque::new(),
             rows: HashMap::new(),
+            leaving: Vec::new(),
             last_call: now,
             resumed_at: now,
             stopped: false,
@@ -65,7 +67,15 @@
     }
 
     /// Takes over a changed list of live members; call it at once on each change.
-    pub fn set_members(&mut self, members: &[ids::InstanceName], now: Duration) {
+    ///
+    /// Nodes in `leaving` are no homes any more but may still run requests.
+    pub fn set_members(
+        &mut self,
+        members: &[ids::InstanceName],
+        leaving: &[ids::InstanceName],
+        now: Duration,
+    ) {
+        self.leaving = leaving.to_vec();
         if self.views.back().is_some_and(|view| view.members == members) {
             return;
         }
@@ -107,7 +117,9 @@
             row.shares.expire(now);
             // A cold replica bears no error about a node that is only cut off.
             if !row.warmup.as_ref().is_some_and(cold_start::WarmupState::cold) {
-                row.shares.forget_gone(|name| members.iter().any(|member| &**member == name));
+                let known =
+                    |name: &str| members.iter().chain(&self.leaving).any(|known| &**known == name);
+                row.shares.forget_gone(known);
             }
         }
         self.rows.retain(|_, row| !row.shares.is_empty() || row.role_since.is_some());
--- a/src/quota_lease.rs
+++ b/src/quota_lease.rs
@@ -4,7 +4,7 @@
 //! time it answered, so the node's share always ends first and no clocks are
 //! compared. A share that ended is worth nothing, whatever the reason.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -159,7 +159,7 @@
         now: Duration,
         members: &[ids::InstanceName],
     ) -> Vec<(ids::InstanceName, quota_message::ShareRequest)> {
-        let mut wants: HashMap<ids::InstanceName, SmallVec<[_; 4]>> = HashMap::new();
+        let mut wants: BTreeMap<ids::InstanceName, SmallVec<[_; 4]>> = BTreeMap::new();
         for kind in quota_message::ResourceKind::ALL {
             let rows = self.rows[kind as usize].iter_mut();
             for (name, row) in rows.filter(|(_, row)| row.needs_renewal(now)) {
--- a/src/service_rate.rs
+++ b/src/service_rate.rs
@@ -4,6 +4,8 @@
 
 /// Time over which one sample is taken.
 const WINDOW: Duration = Duration::from_millis(500);
+/// Time over which the first sample is taken; a surge is let in unchecked until then.
+const FIRST_WINDOW: Duration = Duration::from_millis(200);
 /// Weight of the newest sample.
 const SAMPLE_WEIGHT: f64 = 0.5;
 /// Smallest rate per second, so that a stall does not refuse everything for good.
@@ -31,9 +33,13 @@
 
     /// Closes the window when its time is over; `backlog` states whether requests wait now.
     pub fn observe(&mut self, now: Duration, backlog: bool) {
+        if self.per_s.is_none() && self.idle_seen && backlog {
+            // The first sample of a surge starts with its backlog, so that it comes soon.
+            (self.window_start, self.work, self.idle_seen) = (now, 0.0, false);
+        }
         self.idle_seen |= !backlog;
         let elapsed = now.saturating_sub(self.window_start);
-        if elapsed < WINDOW {
+        if elapsed < if self.per_s.is_none() { FIRST_WINDOW } else { WINDOW } {
             return;
         }
         let sample = self.work / elapsed.as_secs_f64();
