Bound the quality table and write its summary under the fence

Callers choose the kind of a request in a header, so the number of cells had no bound. A customer now has at most 300 cells. The holder writes the summary part by part under its fencing token, and starting nodes read it back.

--- a/src/quality_table.rs
+++ b/src/quality_table.rs
@@ -6,6 +6,7 @@
 //! and one common count would underrate the costly model.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
@@ -19,6 +20,9 @@
 /// Largest weight of one answer; a burst of wrong ratings moves the rate by at most this
 /// share of the memory per answer.
 const MAX_ANSWER_WEIGHT: f64 = 1.0;
+/// Most cells of one customer. Callers choose the kind in a header, so that the number of cells
+/// must not follow it; five kinds of 14 models fit with their escalations.
+const CUSTOMER_CELLS: usize = 300;
 /// Number of parts of the exported summary; one part a second is written, all within 60 s.
 pub const SUMMARY_PARTS: u64 = 60;
 
@@ -88,6 +92,8 @@
 
 impl QualityTable {
     /// Records one rated answer. The weight is limited to 0 to 1.
+    ///
+    /// A customer with 300 cells gets no new one; estimates of other cells stay at their seed.
     pub fn record(&mut self, cell: &QualityCell, passed: bool, weight: f64) {
         let weight = if weight.is_finite() { weight.clamp(0.0, MAX_ANSWER_WEIGHT) } else { 0.0 };
         let added = if passed {
@@ -95,7 +101,8 @@
         } else {
             PassCount { passes: 0.0, failures: weight }
         };
-        self.cells.entry(cell.clone()).or_default().absorb(added);
+        let Some(count) = self.count_mut(cell) else { return };
+        count.absorb(added);
         let unsent = self.unsent.entry(cell.clone()).or_default();
         unsent.passes += added.passes;
         unsent.failures += added.failures;
@@ -124,7 +131,9 @@
     /// Adds counts that another node recorded.
     pub fn merge(&mut self, rows: impl IntoIterator<Item = CountRow>) {
         for (cell, count) in rows {
-            self.cells.entry(cell).or_default().absorb(count.bounded());
+            if let Some(known) = self.count_mut(&cell) {
+                known.absorb(count.bounded());
+            }
         }
     }
 
@@ -141,13 +150,33 @@
     pub fn import(&mut self, rows: impl IntoIterator<Item = CountRow>) {
         for (cell, count) in rows {
             let count = count.bounded();
-            let known = self.cells.entry(cell).or_default();
-            if known.total() < count.total() {
+            if let Some(known) = self.count_mut(&cell)
+                && known.total() < count.total()
+            {
                 *known = count;
             }
         }
     }
 
+    /// Count of a cell; none when the cell is new and its customer has no room.
+    fn count_mut(&mut self, cell: &QualityCell) -> Option<&mut PassCount> {
+        if !self.cells.contains_key(cell) {
+            let empty: Arc<str> = Arc::from("");
+            let first = QualityCell {
+                customer: cell.customer.clone(),
+                kind: empty.clone(),
+                model: empty,
+                after: None,
+            };
+            let known = self.cells.range(first..);
+            let same = known.take_while(|(known, _)| known.customer == cell.customer);
+            if same.count() >= CUSTOMER_CELLS {
+                return None;
+            }
+        }
+        Some(self.cells.entry(cell.clone()).or_default())
+    }
+
     /// Number of cells.
     pub fn len(&self) -> usize {
         self.cells.len()
--- a/src/rollout_evidence.rs
+++ b/src/rollout_evidence.rs
@@ -62,7 +62,7 @@
     pub sequence: u64,
     /// Counters since the former report.
     pub block: EvidenceBlock,
-    /// Nodes that have stopped the new version locally.
+    /// Nodes that have stopped the new version locally; repeated in every report while they do.
     pub stopped: BTreeSet<ids::InstanceName>,
 }
 
@@ -110,7 +110,7 @@
     Slow,
 }
 
-/// Sums reports of many senders until the next forwarding.
+/// Sums reports of many senders on one rollout until the next forwarding.
 #[derive(Clone, Debug, Default)]
 pub struct EvidenceCollector {
     block: EvidenceBlock,
--- a/src/rollout_holder.rs
+++ b/src/rollout_holder.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
-use crate::{ids, kv_store, records, rollout_stage};
+use crate::{ids, kv_store, quality_table, records, rollout_stage};
 
 /// Key of the holder.
 pub const HOLDER_KEY: &str = "rollout/holder";
@@ -60,8 +60,8 @@
     /// The key-value service failed.
     #[error("rollout holder: {0}")]
     Store(#[from] kv_store::KvError),
-    /// The stored state cannot be read.
-    #[error("rollout state {key} is unreadable: {error}")]
+    /// A stored value cannot be read, or one to store cannot be written as JSON.
+    #[error("value of {key} is unreadable: {error}")]
     Unreadable {
         /// Key.
         key: String,
@@ -257,6 +257,28 @@
         }
     }
 
+    /// Writes one part of the quality summary under the fence; called once a second, part by part.
+    ///
+    /// The next round writes every part again, so that a lost answer needs no read.
+    ///
+    /// # Errors
+    /// `RoleLost` when the fence holds the write back, `Store` when the service fails.
+    pub async fn write_summary(
+        &mut self,
+        part: u64,
+        rows: &[quality_table::CountRow],
+    ) -> Result<(), HolderError> {
+        let role = self.role.ok_or(HolderError::RoleLost)?;
+        let key = quality_table::summary_key(part);
+        let value = to_json(&key, rows)?;
+        let transaction = kv_store::KvTransaction {
+            compares: vec![kv_store::KvCompare::CreateRevision(HOLDER_KEY.to_owned(), role.token)],
+            operations: vec![kv_store::KvOperation::Put(key.clone(), value, 0)],
+        };
+        let outcome = self.store.commit(transaction).await?;
+        if outcome.committed { Ok(()) } else { Err(self.fence_error(&role, &outcome.current, key)) }
+    }
+
     fn fence_error(
         &mut self,
         role: &HolderRole,
@@ -293,18 +315,35 @@
     }
 }
 
+/// Reads one part of the quality summary, as a node does when it starts.
+///
+/// # Errors
+/// When the key-value service fails or the part is unreadable.
+pub async fn read_summary(
+    store: &dyn kv_store::KvStore,
+    part: u64,
+) -> Result<Vec<quality_table::CountRow>, HolderError> {
+    let key = quality_table::summary_key(part);
+    let Some(entry) = store.get(&key).await? else { return Ok(Vec::new()) };
+    serde_json::from_slice(&entry.value).map_err(|error| HolderError::Unreadable { key, error })
+}
+
+fn to_json(key: &str, value: &(impl serde::Serialize + ?Sized)) -> Result<Bytes, HolderError> {
+    let unwritable = |error| HolderError::Unreadable { key: key.to_owned(), error };
+    serde_json::to_vec(value).map(Bytes::from).map_err(unwritable)
+}
+
 fn fenced_write(
     role: &HolderRole,
     key: &str,
     stored: &StoredState,
 ) -> Result<kv_store::KvTransaction, HolderError> {
-    let value = serde_json::to_vec(&stored.state)
-        .map_err(|error| HolderError::Unreadable { key: key.to_owned(), error })?;
+    let value = to_json(key, &stored.state)?;
     Ok(kv_store::KvTransaction {
         compares: vec![
             kv_store::KvCompare::CreateRevision(HOLDER_KEY.to_owned(), role.token),
             kv_store::KvCompare::ModRevision(key.to_owned(), stored.revision),
         ],
-        operations: vec![kv_store::KvOperation::Put(key.to_owned(), Bytes::from(value), 0)],
+        operations: vec![kv_store::KvOperation::Put(key.to_owned(), value, 0)],
     })
 }
--- a/tests/cascade_policy.rs
+++ b/tests/cascade_policy.rs
@@ -239,6 +239,27 @@
     assert!(copy.estimate(&cell(0), 0.5).mean < 0.5, "the fresher counts were overwritten");
 }
 
+/// Guards against kinds chosen by callers that fill the memory of the node.
+#[test]
+fn cells_of_one_customer_are_bounded() {
+    let mut table = QualityTable::default();
+    let cell = |customer: &str, number: u32| QualityCell {
+        customer: Arc::from(customer),
+        kind: Arc::from(format!("k{number}")),
+        model: Arc::from("m"),
+        after: None,
+    };
+    for number in 0..1_000 {
+        table.record(&cell("many", number), true, 1.0);
+    }
+    table.record(&cell("other", 0), false, 1.0);
+    table.merge([(cell("many", 2_000), PassCount { passes: 1.0, failures: 0.0 })]);
+    assert_eq!(table.len(), 301);
+    assert_eq!(table.take_unsent().len(), 301);
+    table.record(&cell("many", 0), true, 1.0);
+    assert!(table.answers(&cell("many", 0)) > 1.9, "a known cell still learns");
+}
+
 /// Guards against counts that are sent twice, and against rows that poison the table.
 #[test]
 fn counts_of_other_nodes_are_bounded() {
--- a/tests/rollout_holder.rs
+++ b/tests/rollout_holder.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use yuccareel::kv_store::KvStore as _;
+use yuccareel::quality_table::{PassCount, QualityCell};
 use yuccareel::records::rollout;
 use yuccareel::rollout_evidence::{EvidenceBlock, VersionEvidence};
 use yuccareel::rollout_holder::{self, HolderError, RolloutHolder, StoredState};
@@ -193,3 +194,24 @@
     assert_eq!(revisions.len(), 3, "one write in 10 s");
     assert!(holder.read(&paused).await.unwrap().state.stage_requests >= 200);
 }
+
+/// Guards against a summary that a former holder overwrites or that does not come back whole.
+#[tokio::test(start_paused = true)]
+async fn summary_is_written_under_the_fence() {
+    let store = kv::KvStandin::default();
+    let (mut first, mut second) = (holder(&store, "a"), holder(&store, "b"));
+    let row = |passes| {
+        let name = || Arc::from("x");
+        let cell = QualityCell { customer: name(), kind: name(), model: name(), after: None };
+        vec![(cell, PassCount { passes, failures: 0.1 })]
+    };
+    first.tick().await.unwrap();
+    first.write_summary(7, &row(1.0)).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(11)).await;
+    second.tick().await.unwrap();
+    second.write_summary(7, &row(2.0)).await.unwrap();
+    let error = first.write_summary(7, &row(3.0)).await.unwrap_err();
+    assert!(matches!(error, HolderError::RoleLost), "{error}");
+    assert_eq!(rollout_holder::read_summary(&store, 7).await.unwrap(), row(2.0));
+    assert!(rollout_holder::read_summary(&store, 8).await.unwrap().is_empty());
+}
