--- a/tests/rollout_holder.rs
+++ b/tests/rollout_holder.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use yuccareel::kv_store::KvStore as _;
+use yuccareel::quality_table::{PassCount, QualityCell};
 use yuccareel::records::rollout;
 use yuccareel::rollout_evidence::{EvidenceBlock, VersionEvidence};
 use yuccareel::rollout_holder::{self, HolderError, RolloutHolder, StoredState};
@@ -130,16 +131,29 @@
 /// Guards against a role that is lost for good when the answer to its acquisition is lost.
 #[tokio::test(start_paused = true)]
 async fn role_survives_a_lost_answer() {
-    for (name, lost_answers, ticks) in [("lease grant", 1, 2), ("lease grant and key", 2, 3)] {
+    struct Case {
+        name: &'static str,
+        /// When the answer to come is lost; reads and writes take 100 ms each.
+        lost_from_ms: u64,
+    }
+    let cases = [
+        Case { name: "lease grant", lost_from_ms: 150 },
+        Case { name: "holder key", lost_from_ms: 250 },
+    ];
+    for case in cases {
         let store = kv::KvStandin::default();
         let mut holder = holder(&store, "a");
-        store.faults.lock().lose_answers = lost_answers;
-        for _ in 1..ticks {
-            holder.tick().await.unwrap_err();
-        }
-        let role = holder.tick().await.unwrap().unwrap();
+        store.faults.lock().delay_ms = 100;
+        let lose_answer = async {
+            tokio::time::sleep(Duration::from_millis(case.lost_from_ms)).await;
+            store.faults.lock().lose_answers = 1;
+        };
+        let (outcome, ()) = tokio::join!(holder.tick(), lose_answer);
+        outcome.unwrap_err();
+        let role = holder.tick().await.unwrap().expect(case.name);
         let entry = store.get(rollout_holder::HOLDER_KEY).await.unwrap().unwrap();
-        assert_eq!((role.token, role.lease), (entry.create_revision, entry.lease), "{name}");
+        let found = (role.token, role.lease);
+        assert_eq!(found, (entry.create_revision, entry.lease), "{}", case.name);
     }
 }
 
@@ -180,3 +194,24 @@
     assert_eq!(revisions.len(), 3, "one write in 10 s");
     assert!(holder.read(&paused).await.unwrap().state.stage_requests >= 200);
 }
+
+/// Guards against a summary that a former holder overwrites or that does not come back whole.
+#[tokio::test(start_paused = true)]
+async fn summary_is_written_under_the_fence() {
+    let store = kv::KvStandin::default();
+    let (mut first, mut second) = (holder(&store, "a"), holder(&store, "b"));
+    let row = |passes| {
+        let name = || Arc::from("x");
+        let cell = QualityCell { customer: name(), kind: name(), model: name(), after: None };
+        vec![(cell, PassCount { passes, failures: 0.1 })]
+    };
+    first.tick().await.unwrap();
+    first.write_summary(7, &row(1.0)).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(11)).await;
+    second.tick().await.unwrap();
+    second.write_summary(7, &row(2.0)).await.unwrap();
+    let error = first.write_summary(7, &row(3.0)).await.unwrap_err();
+    assert!(matches!(error, HolderError::RoleLost), "{error}");
+    assert_eq!(rollout_holder::read_summary(&store, 7).await.unwrap(), row(2.0));
+    assert!(rollout_holder::read_summary(&store, 8).await.unwrap().is_empty());
+}
