Wait for an exchange of shares before a limit refuses

Cause: a node whose share was idle had given it back and refused the first request after a quiet time with 429, although the customer's limit was unused. Change: a request waits for up to two exchanges before it is refused; a home that shuts down hands its shares over at once; lapsed leases refuse writes.

--- a/src/node.rs
+++ b/src/node.rs
@@ -113,6 +113,8 @@
     pub home: Mutex<quota_home::QuotaHome>,
     /// Wakes the exchange of shares.
     pub quota_wake: Notify,
+    /// Signals the end of each exchange of shares.
+    pub shares_exchanged: Notify,
     /// Use of customers' limits.
     pub limits: Mutex<customer_limits::CustomerLimitTable>,
     /// Retry budgets.
@@ -194,6 +196,7 @@
                     now,
                 )),
                 quota_wake: Notify::new(),
+                shares_exchanged: Notify::new(),
                 limits: Mutex::default(),
                 retries: Mutex::default(),
                 queues: Mutex::default(),
@@ -312,8 +315,9 @@
     pub async fn shut_down(mut self) {
         let node = Arc::clone(&self.node);
         node.stopping.store(true, Ordering::SeqCst);
-        node.members.lock().announce_leaving();
         node.emit(LogEvent::ShutdownStarted, slog::o!());
+        node.announce_leaving().await;
+        node_quota::hand_over(&node).await;
         tokio::time::sleep(node.options.leave_time).await;
         node.emit(LogEvent::ShutdownDraining, slog::o!());
         let limit = Instant::now() + node.options.shutdown_timeout;
@@ -325,7 +329,6 @@
             }
             tokio::time::sleep(STOP_POLL).await;
         }
-        node_quota::hand_over(&node).await;
         node.stopped.cancel();
         for system in self.systems.drain(..) {
             // A system that failed has nothing left to hand over.
--- a/src/node_admission.rs
+++ b/src/node_admission.rs
@@ -6,10 +6,11 @@
 use crate::refusal_reason::RefusalReason;
 use crate::{customer_limits, error_body, ids, node, node_quota, records};
 
-/// Time between two looks at a share that is being asked for.
-const SHARE_POLL: Duration = Duration::from_millis(2);
-/// Time for the first share of a customer.
-const SHARE_WAIT: Duration = Duration::from_millis(600);
+/// Time for one exchange of shares.
+const EXCHANGE_WAIT: Duration = Duration::from_millis(500);
+/// Exchanges that a request waits for before it is refused. A node whose share was idle has
+/// given it back; the first exchange may have been under way before the request came.
+const SHARE_EXCHANGES: u32 = 2;
 
 /// Admitted request; counts against the customer's limits while it lives.
 pub struct AdmissionGuard {
@@ -50,22 +51,19 @@
         if self.ledger.check_room().is_err() {
             return Err(not_run(RefusalReason::Overloaded, "no room for another bill"));
         }
-        let began = self.clock();
+        let mut exchanges = 0;
         loop {
-            match self.try_admit(customer, estimate) {
+            let outcome = self.try_admit(customer, estimate);
+            let reason = match outcome {
                 customer_limits::LimitOutcome::Admitted => break,
-                customer_limits::LimitOutcome::Refused(reason) => {
-                    return Err(not_run(reason, "limit of the customer is reached"));
-                }
-                customer_limits::LimitOutcome::AwaitShare => {
-                    if self.clock() - began > SHARE_WAIT {
-                        let message = "the customer's limits cannot be checked now";
-                        return Err(not_run(RefusalReason::Overloaded, message));
-                    }
-                    self.quota_wake.notify_one();
-                    tokio::time::sleep(SHARE_POLL).await;
-                }
+                customer_limits::LimitOutcome::Refused(reason) => reason,
+                customer_limits::LimitOutcome::AwaitShare => RefusalReason::Overloaded,
+            };
+            if exchanges == SHARE_EXCHANGES {
+                return Err(not_run(reason, "limit of the customer is reached"));
             }
+            exchanges += 1;
+            self.await_exchange().await;
         }
         Ok(AdmissionGuard {
             node: Arc::clone(self),
@@ -75,6 +73,15 @@
         })
     }
 
+    /// Waits for one exchange of shares that has heard of the demand of now.
+    async fn await_exchange(&self) {
+        let exchanged = self.shares_exchanged.notified();
+        self.state_use();
+        self.quota_wake.notify_one();
+        // On a timeout the caller looks again, and then refuses.
+        let _ = tokio::time::timeout(EXCHANGE_WAIT, exchanged).await;
+    }
+
     fn try_admit(
         &self,
         customer: &records::customer::CustomerRecord,
--- a/src/node_members.rs
+++ b/src/node_members.rs
@@ -18,6 +18,16 @@
 /// Age of the list above which a node that is no watcher reads it itself.
 const LIST_STALE: Duration = Duration::from_secs(10);
 
+/// Members that hear at once that this node leaves.
+const LEAVING_TARGETS: usize = 64;
+
+/// Heartbeat with its target.
+type HeartbeatCall = (ids::InstanceName, std::net::SocketAddr, peer_message::Heartbeat);
+
+fn member_target(entry: &member_row::MemberEntry) -> (ids::InstanceName, std::net::SocketAddr) {
+    (entry.row.name.clone(), entry.row.peer_address)
+}
+
 impl node::Node {
     /// Sends heartbeats and reads the instance list.
     pub async fn run_members(self: Arc<Self>) {
@@ -37,22 +47,48 @@
             ticks.tick().await;
             self.members.lock().forget_dead(self.clock());
             self.refresh_view();
-            for (peer, heartbeat) in self.next_heartbeats() {
-                tokio::spawn(Arc::clone(&self).exchange(peer, heartbeat));
+            for (name, peer, heartbeat) in self.next_heartbeats() {
+                tokio::spawn(Arc::clone(&self).exchange(name, peer, heartbeat));
             }
         }
     }
 
-    fn next_heartbeats(&self) -> Vec<(std::net::SocketAddr, peer_message::Heartbeat)> {
+    fn next_heartbeats(&self) -> Vec<HeartbeatCall> {
         let (now, status) = (self.clock(), self.status());
         let mut table = self.members.lock();
         let chosen = member_choice::heartbeat_targets(&table, now, &mut rand::rng());
-        let targets: Vec<_> = chosen.into_iter().map(|entry| entry.row.peer_address).collect();
-        targets.into_iter().map(|peer| (peer, table.heartbeat(now, status))).collect()
+        let targets: Vec<_> = chosen.into_iter().map(member_target).collect();
+        let calls = targets.into_iter();
+        calls.map(|(name, peer)| (name, peer, table.heartbeat(now, status))).collect()
+    }
+
+    /// Announces that this node leaves, to as many members as get a heartbeat in a minute.
+    ///
+    /// Without the news the others would ask this node for shares and list it for callers
+    /// until the usual heartbeats have spread it.
+    pub async fn announce_leaving(self: &Arc<Self>) {
+        let (now, status) = (self.clock(), self.status());
+        let calls: Vec<HeartbeatCall> = {
+            let mut table = self.members.lock();
+            table.announce_leaving();
+            let others = table.entries().iter().filter(|entry| {
+                entry.row.name != self.options.name
+                    && entry.state(now) != member_row::MemberState::Dead
+            });
+            let targets: Vec<_> = others.take(LEAVING_TARGETS).map(member_target).collect();
+            let calls = targets.into_iter();
+            calls.map(|(name, peer)| (name, peer, table.heartbeat(now, status))).collect()
+        };
+        let exchanges = calls
+            .into_iter()
+            .map(|(name, peer, heartbeat)| Arc::clone(self).exchange(name, peer, heartbeat));
+        futures::future::join_all(exchanges).await;
+        self.refresh_view();
     }
 
     async fn exchange(
         self: Arc<Self>,
+        name: ids::InstanceName,
         peer: std::net::SocketAddr,
         heartbeat: peer_message::Heartbeat,
     ) {
@@ -60,6 +96,7 @@
         let sent = self.peers.heartbeat(peer, HEARTBEAT_LIMIT, heartbeat.clone()).await;
         let Ok(reply) = sent else {
             metrics::counter!("yuccareel_heartbeats_failed_total").increment(1);
+            self.members.lock().note_unanswered(self.clock(), &name);
             return;
         };
         self.members.lock().merge_reply(sent_at, &heartbeat, &reply);
@@ -126,9 +163,15 @@
         if former.members == members && former.freshness == freshness {
             return;
         }
+        let leaving: Vec<ids::InstanceName> = table
+            .entries()
+            .iter()
+            .filter(|entry| entry.state(now) == member_row::MemberState::Leaving)
+            .map(|entry| entry.row.name.clone())
+            .collect();
         let addresses: Vec<_> = table.entries().iter().map(|entry| endpoint(entry, now)).collect();
         drop(table);
-        self.home.lock().set_members(&members, now);
+        self.home.lock().set_members(&members, &leaving, now);
         let snapshot = self.snapshot.load();
         let directory = endpoint_answer::EndpointDirectory::build(
             &addresses,
--- a/src/node_quota.rs
+++ b/src/node_quota.rs
@@ -44,6 +44,7 @@
         });
         futures::future::join_all(exchanges).await;
         self.queue_wake.notify_one();
+        self.shares_exchanged.notify_waiters();
     }
 
     async fn exchange_with(&self, home: &ids::InstanceName, request: quota_message::ShareRequest) {
--- a/src/standins/kv.rs
+++ b/src/standins/kv.rs
@@ -114,7 +114,7 @@
         &self,
         transaction: kv_store::KvTransaction,
     ) -> BoxFuture<'_, Result<kv_store::KvOutcome, kv_store::KvError>> {
-        self.write(move |table| table.commit(&transaction)).boxed()
+        async move { self.write(move |table| table.commit(&transaction)).await? }.boxed()
     }
 
     fn grant_lease(&self, ttl_s: i64) -> BoxFuture<'_, Result<ids::LeaseId, kv_store::KvError>> {
--- a/src/standins/kv_table.rs
+++ b/src/standins/kv_table.rs
@@ -44,12 +44,27 @@
     }
 
     /// Runs a transaction.
-    pub fn commit(&mut self, transaction: &kv_store::KvTransaction) -> kv_store::KvOutcome {
+    ///
+    /// # Errors
+    /// When a written key names a lease that has lapsed; nothing is written then.
+    pub fn commit(
+        &mut self,
+        transaction: &kv_store::KvTransaction,
+    ) -> Result<kv_store::KvOutcome, kv_store::KvError> {
         self.expire_leases();
         if !transaction.compares.iter().all(|compare| self.holds(compare)) {
             let keys = transaction.compares.iter().map(kv_store::KvCompare::key);
             let current = keys.filter_map(|key| self.entries.get(key).cloned()).collect();
-            return kv_store::KvOutcome { committed: false, revision: self.revision, current };
+            return Ok(kv_store::KvOutcome { committed: false, revision: self.revision, current });
+        }
+        let lapsed = |operation: &kv_store::KvOperation| match operation {
+            kv_store::KvOperation::Put(_, _, lease) => {
+                *lease != 0 && !self.leases.contains_key(lease)
+            }
+            kv_store::KvOperation::Delete(_) => false,
+        };
+        if transaction.operations.iter().any(lapsed) {
+            return Err(kv_store::KvError::Refused("requested lease not found".to_owned()));
         }
         if !transaction.operations.is_empty() {
             self.revision += 1;
@@ -62,7 +77,7 @@
                 kv_store::KvOperation::Delete(key) => self.delete(key),
             }
         }
-        kv_store::KvOutcome { committed: true, revision: self.revision, current: Vec::new() }
+        Ok(kv_store::KvOutcome { committed: true, revision: self.revision, current: Vec::new() })
     }
 
     /// Grants a lease.
