--- a/tests/quota_home.rs
+++ b/tests/quota_home.rs
@@ -191,6 +191,30 @@
     }
 }
 
+/// Guards against requests of a leaving node that are forgotten while it finishes them.
+#[test]
+fn leaving_node_keeps_its_use() {
+    for (leaving, left) in [(true, 24), (false, 64)] {
+        let mut group = Group::new(2, REPLICA);
+        let warm = WarmupSign::Report { boot: "b1".into(), cold: false };
+        group.sign(warm);
+        let key = ResourceKey::new(REPLICA, "c").hash_key();
+        let home = rendezvous::home(&key, &group.members).unwrap().clone();
+        let leaver = usize::from(home == group.members[0]);
+        let use_now = ShareUse { wanted: 40, in_use: 40, ..ShareUse::default() };
+        group.exchange(leaver, REPLICA, use_now);
+        let gone = vec![group.members[leaver].clone()];
+        let gone = if leaving { gone } else { Vec::new() };
+        group.home.set_members(std::slice::from_ref(&home), &gone, group.now);
+        let mut held = 0;
+        for _ in 0..12 {
+            group.advance(ms(1_000));
+            held = group.exchange(1 - leaver, REPLICA, wants(64));
+        }
+        assert_eq!(held, left, "leaving node listed: {leaving}");
+    }
+}
+
 /// Guards against a new home that grants before the former shares ended, and against a useless
 /// wait after a handover.
 #[test]
