--- a/tests/admission_queue.rs
+++ b/tests/admission_queue.rs
@@ -114,42 +114,21 @@
         passes: bool,
     }
     // 20 requests of customer a wait, served at 10 per second.
+    fn case(
+        name: &'static str,
+        customer: &'static str,
+        lane: RequestLane,
+        deadline_ms: u64,
+        passes: bool,
+    ) -> Case {
+        Case { name, customer, lane, deadline_ms, passes }
+    }
     let cases = [
-        Case {
-            name: "enough time",
-            customer: "a",
-            lane: RequestLane::Interactive,
-            deadline_ms: 3_000,
-            passes: true,
-        },
-        Case {
-            name: "too little",
-            customer: "a",
-            lane: RequestLane::Interactive,
-            deadline_ms: 1_500,
-            passes: false,
-        },
-        Case {
-            name: "own queue short",
-            customer: "b",
-            lane: RequestLane::Interactive,
-            deadline_ms: 1_500,
-            passes: true,
-        },
-        Case {
-            name: "batch behind interactive",
-            customer: "b",
-            lane: RequestLane::Batch,
-            deadline_ms: 150,
-            passes: false,
-        },
-        Case {
-            name: "shorter than the answer",
-            customer: "b",
-            lane: RequestLane::Interactive,
-            deadline_ms: 50,
-            passes: false,
-        },
+        case("enough time", "a", RequestLane::Interactive, 3_000, true),
+        case("too little", "a", RequestLane::Interactive, 1_500, false),
+        case("own queue short", "b", RequestLane::Interactive, 1_500, true),
+        case("batch behind interactive", "b", RequestLane::Batch, 150, false),
+        case("shorter than the answer", "b", RequestLane::Interactive, 50, false),
     ];
     for case in cases {
         let mut queue = queue(&[("a", 1), ("b", 1)], 1_000);
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -19,49 +19,44 @@
         limit: u32,
     }
     let warm = || (0, boot_report("b1", false));
+    fn case(name: &'static str, signs: Vec<(u64, Sign)>, limit: u32) -> Case {
+        Case { name, signs, limit }
+    }
     let cases = [
-        Case { name: "unknown", signs: vec![], limit: 2 },
-        Case { name: "one answer short", signs: vec![(0, Sign::Answers(1))], limit: 2 },
-        Case { name: "doubled", signs: vec![(0, Sign::Answers(2))], limit: 4 },
-        Case { name: "doubled twice", signs: vec![(0, Sign::Answers(6))], limit: 8 },
-        Case { name: "at most warm", signs: vec![(0, Sign::Answers(1_000))], limit: 20 },
-        Case { name: "warm report", signs: vec![warm()], limit: 20 },
-        Case { name: "first boot id", signs: vec![(0, Sign::Boot("b1".into()))], limit: 2 },
-        Case { name: "same boot id", signs: vec![warm(), (1, Sign::Boot("b1".into()))], limit: 20 },
-        Case { name: "new boot id", signs: vec![warm(), (1, Sign::Boot("b2".into()))], limit: 2 },
-        Case { name: "refused", signs: vec![warm(), (1, Sign::Refused)], limit: 2 },
-        Case { name: "slow first token", signs: vec![warm(), (1, Sign::SlowFirstToken)], limit: 2 },
-        Case { name: "returned", signs: vec![warm(), (1, Sign::Returned)], limit: 2 },
-        Case { name: "cold report", signs: vec![warm(), (1, boot_report("b1", true))], limit: 2 },
-        Case {
-            name: "report of a new boot",
-            signs: vec![warm(), (1, boot_report("b2", false))],
-            limit: 2,
-        },
-        Case {
-            name: "late report of the former boot",
-            signs: vec![warm(), (1, Sign::Boot("b2".into())), (2, boot_report("b1", false))],
-            limit: 2,
-        },
-        Case {
-            name: "report within the lag",
-            signs: vec![warm(), (1, Sign::Refused), (2_000, boot_report("b1", false))],
-            limit: 2,
-        },
-        Case {
-            name: "report after the lag",
-            signs: vec![warm(), (1, Sign::Refused), (2_001, boot_report("b1", false))],
-            limit: 20,
-        },
-        Case {
-            name: "cold report while warming up",
-            signs: vec![
-                (0, boot_report("b1", true)),
-                (1, Sign::Answers(2)),
-                (2, boot_report("b1", true)),
-            ],
-            limit: 4,
-        },
+        case("unknown", vec![], 2),
+        case("one answer short", vec![(0, Sign::Answers(1))], 2),
+        case("doubled", vec![(0, Sign::Answers(2))], 4),
+        case("doubled twice", vec![(0, Sign::Answers(6))], 8),
+        case("at most warm", vec![(0, Sign::Answers(1_000))], 20),
+        case("warm report", vec![warm()], 20),
+        case("first boot id", vec![(0, Sign::Boot("b1".into()))], 2),
+        case("same boot id", vec![warm(), (1, Sign::Boot("b1".into()))], 20),
+        case("new boot id", vec![warm(), (1, Sign::Boot("b2".into()))], 2),
+        case("refused", vec![warm(), (1, Sign::Refused)], 2),
+        case("slow first token", vec![warm(), (1, Sign::SlowFirstToken)], 2),
+        case("returned", vec![warm(), (1, Sign::Returned)], 2),
+        case("cold report", vec![warm(), (1, boot_report("b1", true))], 2),
+        case("report of a new boot", vec![warm(), (1, boot_report("b2", false))], 2),
+        case(
+            "late report of the former boot",
+            vec![warm(), (1, Sign::Boot("b2".into())), (2, boot_report("b1", false))],
+            2,
+        ),
+        case(
+            "report within the lag",
+            vec![warm(), (1, Sign::Refused), (2_000, boot_report("b1", false))],
+            2,
+        ),
+        case(
+            "report after the lag",
+            vec![warm(), (1, Sign::Refused), (2_001, boot_report("b1", false))],
+            20,
+        ),
+        case(
+            "cold report while warming up",
+            vec![(0, boot_report("b1", true)), (1, Sign::Answers(2)), (2, boot_report("b1", true))],
+            4,
+        ),
     ];
     for case in cases {
         let mut state = WarmupState::new(WarmupBounds { cold: 2, warm: 20 });
@@ -81,24 +76,15 @@
         samples_ms: Vec<u64>,
         slow: bool,
     }
+    fn case(name: &'static str, samples_ms: Vec<u64>, slow: bool) -> Case {
+        Case { name, samples_ms, slow }
+    }
     let cases = [
-        Case { name: "nothing learned", samples_ms: vec![100, 900], slow: false },
-        Case {
-            name: "within 4 times",
-            samples_ms: [vec![100; 8], vec![400]].concat(),
-            slow: false,
-        },
-        Case { name: "over 4 times", samples_ms: [vec![100; 8], vec![401]].concat(), slow: true },
-        Case {
-            name: "slow ones are not learned",
-            samples_ms: [vec![100; 8], vec![900; 50]].concat(),
-            slow: true,
-        },
-        Case {
-            name: "gradual change is learned",
-            samples_ms: [vec![100; 8], vec![300; 50], vec![900]].concat(),
-            slow: false,
-        },
+        case("nothing learned", vec![100, 900], false),
+        case("within 4 times", [vec![100; 8], vec![400]].concat(), false),
+        case("over 4 times", [vec![100; 8], vec![401]].concat(), true),
+        case("slow ones are not learned", [vec![100; 8], vec![900; 50]].concat(), true),
+        case("gradual change is learned", [vec![100; 8], vec![300; 50], vec![900]].concat(), false),
     ];
     for case in cases {
         let mut time = FirstTokenTime::default();
--- a/tests/route_decision.rs
+++ b/tests/route_decision.rs
@@ -114,138 +114,109 @@
         change: fn(&mut Setting),
         reason: Option<Reason>,
     }
+    fn case(name: &'static str, change: fn(&mut Setting), reason: Option<Reason>) -> Case {
+        Case { name, change, reason }
+    }
     let cases = [
-        Case { name: "all pass", change: |_| (), reason: None },
-        Case { name: "isolated", change: |s| s.fresh = false, reason: Some(Reason::Isolated) },
-        Case {
-            name: "deadline",
-            change: |s| s.deadline = NOW,
-            reason: Some(Reason::DeadlineExceeded),
-        },
-        Case {
-            name: "customer removed",
-            change: |s| s.snapshot.remove("customer", "c"),
-            reason: Some(Reason::TokenUnknown),
-        },
-        Case {
-            name: "model",
-            change: |s| s.pool = version("x", "v1"),
-            reason: Some(Reason::ModelUnknown),
-        },
-        Case {
-            name: "version",
-            change: |s| s.pool = version("m", "v9"),
-            reason: Some(Reason::ModelUnknown),
-        },
-        Case {
-            name: "version not allowed",
-            change: |s| s.pool = version("m", "v2"),
-            reason: Some(Reason::ModelNotAllowed),
-        },
-        Case {
-            name: "withdrawn",
-            change: |s| s.pool = version("m", "old"),
-            reason: Some(Reason::VersionWithdrawn),
-        },
-        Case {
-            name: "service",
-            change: |s| s.pool = ReplicaPool::Service("x".into()),
-            reason: Some(Reason::RouteUnknown),
-        },
-        Case {
-            name: "service without replica",
-            change: |s| s.pool = ReplicaPool::Service("stock".into()),
-            reason: Some(Reason::NoReplica),
-        },
-        Case {
-            name: "leaving",
-            change: |s| s.set_rows(|row| row.leaving = true),
-            reason: Some(Reason::NoReplica),
-        },
-        Case {
-            name: "one drained",
-            change: |s| s.snapshot.put(data_centre("near", true, &[])),
-            reason: None,
-        },
-        Case {
-            name: "all drained",
-            change: |s| {
+        case("all pass", |_| (), None),
+        case("isolated", |s| s.fresh = false, Some(Reason::Isolated)),
+        case("deadline", |s| s.deadline = NOW, Some(Reason::DeadlineExceeded)),
+        case(
+            "customer removed",
+            |s| s.snapshot.remove("customer", "c"),
+            Some(Reason::TokenUnknown),
+        ),
+        case("model", |s| s.pool = version("x", "v1"), Some(Reason::ModelUnknown)),
+        case("version", |s| s.pool = version("m", "v9"), Some(Reason::ModelUnknown)),
+        case("version not allowed", |s| s.pool = version("m", "v2"), Some(Reason::ModelNotAllowed)),
+        case("withdrawn", |s| s.pool = version("m", "old"), Some(Reason::VersionWithdrawn)),
+        case("service", |s| s.pool = ReplicaPool::Service("x".into()), Some(Reason::RouteUnknown)),
+        case(
+            "service without replica",
+            |s| s.pool = ReplicaPool::Service("stock".into()),
+            Some(Reason::NoReplica),
+        ),
+        case("leaving", |s| s.set_rows(|row| row.leaving = true), Some(Reason::NoReplica)),
+        case("one drained", |s| s.snapshot.put(data_centre("near", true, &[])), None),
+        case(
+            "all drained",
+            |s| {
                 s.snapshot.put(data_centre("near", true, &[]));
                 s.snapshot.put(data_centre("far", true, &[]));
             },
-            reason: Some(Reason::DataCentreDrained),
-        },
-        Case {
-            name: "one drained, the other leaving",
-            change: |s| {
+            Some(Reason::DataCentreDrained),
+        ),
+        case(
+            "one drained, the other leaving",
+            |s| {
                 s.snapshot.put(data_centre("near", true, &[]));
                 s.set_rows(|row| row.leaving = &*row.data_centre == "far");
             },
-            reason: Some(Reason::DataCentreDrained),
-        },
-        Case { name: "one tried", change: |s| s.excluded = vec!["a".into()], reason: None },
-        Case {
-            name: "all tried",
-            change: |s| s.excluded = vec!["a".into(), "b".into()],
-            reason: Some(Reason::BackendFailed),
-        },
-        Case {
-            name: "credit in use",
-            change: |s| s.set_rows(|row| row.in_flight.store(2, Ordering::Relaxed)),
-            reason: Some(Reason::Overloaded),
-        },
-        Case {
-            name: "cold credit in use",
-            change: |s| {
+            Some(Reason::DataCentreDrained),
+        ),
+        case("one tried", |s| s.excluded = vec!["a".into()], None),
+        case(
+            "all tried",
+            |s| s.excluded = vec!["a".into(), "b".into()],
+            Some(Reason::BackendFailed),
+        ),
+        case(
+            "credit in use",
+            |s| s.set_rows(|row| row.in_flight.store(2, Ordering::Relaxed)),
+            Some(Reason::Overloaded),
+        ),
+        case(
+            "cold credit in use",
+            |s| {
                 let leases = [("a", 1, 2, true), ("b", 1, 2, true)];
                 s.shares = shares(ReplicaConcurrency, &leases, NOW);
                 s.set_rows(|row| row.in_flight.store(1, Ordering::Relaxed));
             },
-            reason: Some(Reason::ColdStart),
-        },
-        Case {
-            name: "no share asked",
-            change: |s| s.shares = ShareTable::new("node".into(), 1),
-            reason: Some(Reason::ColdStart),
-        },
-        Case {
-            name: "lease over while idle, reported warm",
-            change: |s| {
+            Some(Reason::ColdStart),
+        ),
+        case(
+            "no share asked",
+            |s| s.shares = ShareTable::new("node".into(), 1),
+            Some(Reason::ColdStart),
+        ),
+        case(
+            "lease over while idle, reported warm",
+            |s| {
                 s.shares = idle_until(NOW);
                 s.set_rows(|row| row.report = Some(report(0, false, "b1", NOW)));
             },
-            reason: Some(Reason::ColdStart),
-        },
-        Case {
-            name: "lease over, state unknown",
-            change: |s| s.shares = leased_until(NOW),
-            reason: Some(Reason::ColdStart),
-        },
-        Case {
-            name: "lease over, reported cold",
-            change: |s| {
+            Some(Reason::ColdStart),
+        ),
+        case(
+            "lease over, state unknown",
+            |s| s.shares = leased_until(NOW),
+            Some(Reason::ColdStart),
+        ),
+        case(
+            "lease over, reported cold",
+            |s| {
                 s.shares = leased_until(NOW);
                 s.set_rows(|row| row.report = Some(report(0, true, "b1", NOW)));
             },
-            reason: Some(Reason::ColdStart),
-        },
-        Case {
-            name: "lease over, reported warm",
-            change: |s| {
+            Some(Reason::ColdStart),
+        ),
+        case(
+            "lease over, reported warm",
+            |s| {
                 s.shares = leased_until(NOW);
                 s.set_rows(|row| row.report = Some(report(0, false, "b1", NOW)));
             },
-            reason: None,
-        },
-        Case {
-            name: "lease over, floor in use",
-            change: |s| {
+            None,
+        ),
+        case(
+            "lease over, floor in use",
+            |s| {
                 s.shares = leased_until(NOW);
                 s.set_rows(|row| row.report = Some(report(0, false, "b1", NOW)));
                 s.set_rows(|row| row.in_flight.store(4, Ordering::Relaxed));
             },
-            reason: Some(Reason::Overloaded),
-        },
+            Some(Reason::Overloaded),
+        ),
     ];
     for case in cases {
         let mut setting = Setting::new();
