Serve the first requests after a quiet time; follow members by process

Cause: (1) a rate bucket filled only at the measured demand, so that requests after an idle lease were refused with 429 far below the limit; (2) the claim store heard of members by name only, before their process was known, so that one node kept all shards while the others waited.

--- a/src/customer_limits.rs
+++ b/src/customer_limits.rs
@@ -11,7 +11,7 @@
 use crate::quota_lease::{ShareState, ShareTable, ShareUse};
 use crate::quota_message::ResourceKind;
 use crate::refusal_reason::RefusalReason;
-use crate::{ids, records};
+use crate::{ids, quota_message, records};
 
 /// Tokens of one request, in thousandths.
 const REQUEST_TOKENS: f64 = 1_000.0;
@@ -20,6 +20,10 @@
 /// Factor on measured demand, so that shares can follow growth between renewals.
 const HEADROOM: f64 = 1.25;
 
+/// Least rate that a node with any demand asks for, in requests/s, so that a few requests in a
+/// row need no further exchange.
+const RATE_FLOOR: f64 = 10.0;
+
 /// Outcome of the limits for one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitOutcome {
@@ -36,6 +40,8 @@
 struct LimitRow {
     tokens: f64,
     filled_at: Option<Duration>,
+    filled_rate: f64,
+    credited_at: Option<Duration>,
     window_start: Duration,
     arrivals: u32,
     former_arrivals: u32,
@@ -148,22 +154,27 @@
 
     /// Fills the bucket at the leased rate, to one second's worth or one request.
     ///
-    /// The first fill is one second's worth, so that the nodes' buckets together never hold more
-    /// than one second of the limit when a surge begins.
+    /// A rise of the share is worth one second of it at once, but only once per lease: a bucket
+    /// that starts empty would refuse the first requests of a surge. While demand moves between
+    /// nodes this lets a customer exceed its rate by at most half, as a lease is two seconds.
     fn fill(&mut self, rate: f64, now: Duration) {
-        let elapsed_s = match self.filled_at {
-            None => 1.0,
-            Some(filled_at) => now.saturating_sub(filled_at).as_secs_f64(),
-        };
-        if self.filled_at.is_some() || rate > 0.0 {
-            self.filled_at = Some(now);
+        let elapsed = self.filled_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        self.filled_at = Some(now);
+        self.tokens += rate * elapsed.as_secs_f64();
+        let credited =
+            self.credited_at.is_some_and(|at| now.saturating_sub(at) < quota_message::SHARE_LEASE);
+        if rate > self.filled_rate && !credited {
+            self.tokens += rate - self.filled_rate;
+            self.credited_at = Some(now);
         }
-        self.tokens = (self.tokens + rate * elapsed_s).min(rate.max(REQUEST_TOKENS));
+        self.filled_rate = rate;
+        self.tokens = self.tokens.min(rate.max(REQUEST_TOKENS));
     }
 
     fn state_use(&self, name: &Arc<str>, shares: &mut ShareTable, now: Duration) -> bool {
         let arrivals = f64::from(self.arrivals.max(self.former_arrivals));
-        let rate = (arrivals * REQUEST_TOKENS * HEADROOM).ceil() as u64;
+        let floor = if arrivals > 0.0 { RATE_FLOOR } else { 0.0 };
+        let rate = ((arrivals * HEADROOM).max(floor) * REQUEST_TOKENS).ceil() as u64;
         let in_use = u64::from(self.in_flight);
         let concurrency = headroom(in_use + u64::from(self.refused));
         let spend = headroom(self.reserved + self.refused_cost) + self.recent_cost();
--- a/src/node_claims.rs
+++ b/src/node_claims.rs
@@ -7,8 +7,7 @@
 
 use crate::refusal_reason::RefusalReason;
 use crate::{
-    bill_batch, claim_record, claim_table, error_body, ids, member_row, node, node_config,
-    peer_message,
+    bill_batch, claim_record, claim_table, error_body, ids, node, node_config, peer_message,
 };
 
 /// Time for which a claim at this node waits for the end of another request under its key
@@ -62,20 +61,6 @@
         }
     }
 
-    /// Tells the claim store which processes live.
-    pub fn update_claim_members(&self) {
-        let now = self.clock();
-        let table = self.members.lock();
-        let live = table.entries().iter().filter(|entry| {
-            entry.row.incarnation > 0 && entry.state(now) != member_row::MemberState::Dead
-        });
-        let processes: Vec<_> = live
-            .map(|entry| bill_batch::process_name(&entry.row.name, entry.row.incarnation))
-            .collect();
-        drop(table);
-        self.claims.set_members(processes);
-    }
-
     /// Claims a call; returns when it may be sent or an earlier answer is known.
     ///
     /// # Errors
--- a/src/node_config.rs
+++ b/src/node_config.rs
@@ -154,6 +154,7 @@
         self.mark_returned(&snapshot);
         self.snapshot.store(snapshot);
         self.rebuild_routes();
+        self.rebuild_endpoints(&self.view.load());
         self.queue_wake.notify_one();
     }
 
--- a/src/node_members.rs
+++ b/src/node_members.rs
@@ -4,9 +4,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use crate::event_catalogue::LogEvent;
 use crate::{
-    endpoint_answer, freshness, ids, instance_list, member_choice, member_row, node, node_view,
-    peer_message,
+    bill_batch, endpoint_answer, freshness, ids, instance_list, member_choice, member_row, node,
+    node_view, peer_message,
 };
 
 /// Time between two heartbeats.
@@ -144,43 +145,58 @@
     /// Recomputes members, freshness and endpoints.
     pub fn refresh_view(&self) {
         let now = self.clock();
-        let table = self.members.lock();
-        let freshness = self.confirmation.lock().freshness(now, table.reach(now));
+        let view = self.current_view(now);
         let former = self.view.load();
-        if former.freshness != freshness {
-            metrics::gauge!("yuccareel_freshness").set(freshness_value(freshness));
-        }
-        let serving = |entry: &&member_row::MemberEntry| {
-            matches!(
-                entry.state(now),
-                member_row::MemberState::Live | member_row::MemberState::Suspect
-            )
-        };
-        let live = table.entries().iter().filter(serving);
-        let mut members: Vec<ids::InstanceName> =
-            live.map(|entry| entry.row.name.clone()).collect();
-        members.sort_unstable();
-        if former.members == members && former.freshness == freshness {
+        if **former == view {
             return;
         }
-        let leaving: Vec<ids::InstanceName> = table
-            .entries()
-            .iter()
-            .filter(|entry| entry.state(now) == member_row::MemberState::Leaving)
-            .map(|entry| entry.row.name.clone())
-            .collect();
-        let addresses: Vec<_> = table.entries().iter().map(|entry| endpoint(entry, now)).collect();
-        drop(table);
-        self.home.lock().set_members(&members, &leaving, now);
-        let snapshot = self.snapshot.load();
+        if former.freshness != view.freshness {
+            metrics::gauge!("yuccareel_freshness").set(freshness_value(view.freshness));
+            let freshness = format!("{:?}", view.freshness);
+            self.emit(LogEvent::FreshnessChanged, slog::o!("freshness" => freshness));
+        }
+        self.home.lock().set_members(&view.members, &view.leaving, now);
+        self.claims.set_members(view.processes.iter().cloned());
+        let view = Arc::new(view);
+        self.view.store(Arc::clone(&view));
+        self.rebuild_endpoints(&view);
+    }
+
+    fn current_view(&self, now: Duration) -> node_view::NodeView {
+        let table = self.members.lock();
+        let freshness = self.confirmation.lock().freshness(now, table.reach(now));
+        let mut view = node_view::NodeView { freshness, ..Default::default() };
+        for entry in table.entries() {
+            let (state, row) = (entry.state(now), &entry.row);
+            let live = state == member_row::MemberState::Live;
+            view.endpoints.push(endpoint_answer::EndpointMember {
+                address: row.address,
+                data_centre: row.data_centre.clone(),
+                live,
+            });
+            if state != member_row::MemberState::Dead && row.incarnation > 0 {
+                view.processes.push(bill_batch::process_name(&row.name, row.incarnation));
+            }
+            match state {
+                member_row::MemberState::Live | member_row::MemberState::Suspect => {
+                    view.members.push(row.name.clone());
+                }
+                member_row::MemberState::Leaving => view.leaving.push(row.name.clone()),
+                member_row::MemberState::Dead => {}
+            }
+        }
+        view.members.sort_unstable();
+        view
+    }
+
+    /// Rebuilds the addresses for callers.
+    pub fn rebuild_endpoints(&self, view: &node_view::NodeView) {
         let directory = endpoint_answer::EndpointDirectory::build(
-            &addresses,
-            &snapshot,
+            &view.endpoints,
+            &self.snapshot.load(),
             &self.options.data_centre,
         );
         self.endpoints.store(Arc::new(directory));
-        self.view.store(Arc::new(node_view::NodeView { freshness, members }));
-        self.update_claim_members();
     }
 
     async fn run_lists(self: Arc<Self>) {
@@ -255,14 +271,6 @@
     }
 }
 
-fn endpoint(entry: &member_row::MemberEntry, now: Duration) -> endpoint_answer::EndpointMember {
-    endpoint_answer::EndpointMember {
-        address: entry.row.address,
-        data_centre: entry.row.data_centre.clone(),
-        live: entry.state(now) == member_row::MemberState::Live,
-    }
-}
-
 fn freshness_value(freshness: freshness::Freshness) -> f64 {
     match freshness {
         freshness::Freshness::Confirmed => 2.0,
--- a/src/node_view.rs
+++ b/src/node_view.rs
@@ -4,20 +4,32 @@
 
 use xxhash_rust::xxh3;
 
-use crate::{freshness, ids, instance_list};
+use crate::{endpoint_answer, freshness, ids, instance_list};
 
 /// Members and freshness as of the last tick.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct NodeView {
     /// Whether this node may start work.
     pub freshness: freshness::Freshness,
-    /// Live nodes, this one included.
+    /// Live nodes in the order of their names, this one included.
     pub members: Vec<ids::InstanceName>,
+    /// Nodes that are leaving; they finish their requests.
+    pub leaving: Vec<ids::InstanceName>,
+    /// Processes that may still run requests.
+    pub processes: Vec<ids::InstanceName>,
+    /// Nodes as callers see them.
+    pub endpoints: Vec<endpoint_answer::EndpointMember>,
 }
 
 impl Default for NodeView {
     fn default() -> Self {
-        Self { freshness: freshness::Freshness::Isolated, members: Vec::new() }
+        Self {
+            freshness: freshness::Freshness::Isolated,
+            members: Vec::new(),
+            leaving: Vec::new(),
+            processes: Vec::new(),
+            endpoints: Vec::new(),
+        }
     }
 }
 
