--- /dev/null
+++ b/tests/fault_world/mod.rs
@@ -0,0 +1,6 @@
+//! Cells of the fault matrix: real daemons and stand-ins on loopback, with a record of
+//! what callers, backend servers and the bill audit saw.
+#![allow(dead_code)]
+
+pub mod observation;
+pub mod promises;
