Name the request in refusals too

Change: the identifier is made before the request is read and set on the reply at once; job and call take it over.

--- a/src/chat_flow.rs
+++ b/src/chat_flow.rs
@@ -38,11 +38,12 @@
 
 /// Job of a request that a customer sent now.
 pub fn new_job(
+    id: ids::RequestId,
     customer: Arc<crate::records::customer::CustomerRecord>,
     request: chat_request::ChatRequest,
 ) -> chat_job::ChatJob {
     let deadline = Instant::now() + request.deadline;
-    chat_job::ChatJob { id: rand::random(), customer, request, deadline }
+    chat_job::ChatJob { id, customer, request, deadline }
 }
 
 /// Answers a chat request of a customer.
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -107,6 +107,7 @@
         response: &mut Response,
     ) -> Result<(), error_body::RequestRefusal> {
         let guard = ServingGuard::new(&self.node);
+        let id = name_request(response);
         let customer = self.node.authenticate(bearer_token(request).as_deref())?;
         let body = self.body(request).await?;
         let headers = chat_request::ChatHeaders {
@@ -117,15 +118,15 @@
         };
         let time = self.node.options.request_timeout;
         let parsed = chat_request::ChatRequest::parse(&body, headers, time)?;
-        let job = chat_flow::new_job(customer, parsed);
+        let job = chat_flow::new_job(id, customer, parsed);
         match chat_flow::answer(&self.node, job).await? {
             chat_flow::ChatAnswer::Whole(answer) => {
-                set_target(response, answer.id, &answer.target);
+                set_target(response, &answer.target);
                 set_header(response, "x-yuccareel-cost-microcredits", &answer.cost.to_string());
                 response.render(salvo::writing::Json(answer.body()));
             }
             chat_flow::ChatAnswer::Streamed(answer) => {
-                set_target(response, answer.id(), answer.target());
+                set_target(response, answer.target());
                 set_header(response, "content-type", "text/event-stream");
                 set_header(response, "cache-control", "no-cache");
                 let pieces = stream::unfold((answer, guard), |(mut answer, guard)| async move {
@@ -144,6 +145,7 @@
         response: &mut Response,
     ) -> Result<(), error_body::RequestRefusal> {
         let _guard = ServingGuard::new(&self.node);
+        let id = name_request(response);
         let path = request.uri().path().to_owned();
         let service = self.node.snapshot.load().service_for(&path).cloned().ok_or_else(|| {
             let reason = refusal_reason::RefusalReason::RouteUnknown;
@@ -152,7 +154,7 @@
         let customer = self.node.authenticate(bearer_token(request).as_deref())?;
         let body = self.body(request).await?;
         let call = service_flow::ServiceCall {
-            id: rand::random(),
+            id,
             customer,
             service,
             method: request.method().clone(),
@@ -162,7 +164,6 @@
             body,
         };
         let reply = service_flow::answer(&self.node, call).await?;
-        set_header(response, "x-request-id", &format!("{:032x}", reply.id));
         set_header(response, "content-type", &reply.content_type);
         response.status_code(StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY));
         response.body(reply.body);
@@ -225,12 +226,14 @@
     scheme.eq_ignore_ascii_case("bearer").then(|| token.trim().to_owned())
 }
 
-fn set_target(
-    response: &mut Response,
-    id: ids::RequestId,
-    target: &crate::chat_job::VersionTarget,
-) {
+/// Identifies a request in its reply, whether that is an answer or a refusal.
+fn name_request(response: &mut Response) -> ids::RequestId {
+    let id: ids::RequestId = rand::random();
     set_header(response, "x-request-id", &format!("{id:032x}"));
+    id
+}
+
+fn set_target(response: &mut Response, target: &crate::chat_job::VersionTarget) {
     set_header(response, "x-yuccareel-model", &target.model.name);
     set_header(response, "x-yuccareel-version", &target.version);
     if target.repinned {
