Add cells of the fault matrix

Steps, faults and the world of a cell: three instances in two data centres, engines that record refused arrivals, services that record calls, a list that can lag.

--- a/src/standins/engine.rs
+++ b/src/standins/engine.rs
@@ -55,6 +55,8 @@
     pub errors: bool,
     /// Every answer is poor.
     pub poor: bool,
+    /// Requests of others that take up room.
+    pub busy: u32,
 }
 
 /// Request as the engine received it.
@@ -74,6 +76,19 @@
     pub admitted_at: tokio::time::Instant,
 }
 
+/// Request that the engine refused for want of room.
+#[derive(Clone, Debug)]
+pub struct RefusedRequest {
+    /// Request identifier.
+    pub request_id: String,
+    /// Requests that would have run with it.
+    pub concurrency: u32,
+    /// Whether the engine was cold.
+    pub cold: bool,
+    /// When it was refused.
+    pub refused_at: tokio::time::Instant,
+}
+
 /// Engine stand-in; clones share one state.
 #[derive(Clone)]
 pub struct EngineStandin {
@@ -83,6 +98,8 @@
     pub faults: Arc<Mutex<EngineFaults>>,
     /// Admitted requests.
     pub received: Arc<Mutex<Vec<ReceivedRequest>>>,
+    /// Requests refused for want of room.
+    pub refused: Arc<Mutex<Vec<RefusedRequest>>>,
     running: Arc<AtomicU32>,
     answers: Arc<AtomicU32>,
     boot: Arc<Mutex<u32>>,
@@ -97,6 +114,7 @@
             options: Arc::new(options),
             faults: Arc::default(),
             received: Arc::default(),
+            refused: Arc::default(),
             running: Arc::default(),
             answers: Arc::new(AtomicU32::new(answers)),
             boot: Arc::new(Mutex::new(1)),
@@ -152,6 +170,12 @@
         }
         let Some(slot) = self.admit() else {
             let cold = self.cold();
+            self.refused.lock().push(RefusedRequest {
+                request_id: id,
+                concurrency: self.running.load(Ordering::SeqCst) + 1,
+                cold,
+                refused_at: tokio::time::Instant::now(),
+            });
             let status =
                 if cold { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::TOO_MANY_REQUESTS };
             refuse(response, status, true);
@@ -189,7 +213,7 @@
     }
 
     fn admit(&self) -> Option<RunningSlot> {
-        let limit = self.limit();
+        let limit = self.limit().saturating_sub(self.faults.lock().busy);
         let count = &self.running;
         let former = count.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |now| {
             (now < limit).then_some(now + 1)
--- a/src/standins/list.rs
+++ b/src/standins/list.rs
@@ -12,6 +12,8 @@
 pub struct ListStandin {
     /// Listed instances.
     pub instances: Arc<Mutex<Vec<instance_list::ListedInstance>>>,
+    /// Former list that is served while the list lags.
+    former: Arc<Mutex<Option<Vec<instance_list::ListedInstance>>>>,
 }
 
 impl ListStandin {
@@ -20,6 +22,16 @@
         Router::with_path("instances").get(ListHandler(self.clone()))
     }
 
+    /// Serves the present list until `catch_up`, whatever changes.
+    pub fn lag(&self) {
+        *self.former.lock() = Some(self.instances.lock().clone());
+    }
+
+    /// Serves all changes again.
+    pub fn catch_up(&self) {
+        *self.former.lock() = None;
+    }
+
     /// Marks an instance as leaving.
     pub fn mark_leaving(&self, name: &str) {
         let mut instances = self.instances.lock();
@@ -29,6 +41,11 @@
         }
     }
 
+    /// Whether an instance is listed.
+    pub fn lists(&self, name: &str) -> bool {
+        self.instances.lock().iter().any(|instance| &*instance.name == name)
+    }
+
     /// Removes an instance.
     pub fn remove(&self, name: &str) {
         self.instances.lock().retain(|instance| &*instance.name != name);
@@ -40,6 +57,8 @@
 #[handler]
 impl ListHandler {
     async fn handle(&self, _request: &mut Request, _depot: &mut Depot, response: &mut Response) {
-        response.render(salvo::writing::Json(&*self.0.instances.lock()));
+        let former = self.0.former.lock().clone();
+        let served = former.unwrap_or_else(|| self.0.instances.lock().clone());
+        response.render(salvo::writing::Json(served));
     }
 }
--- a/src/standins/service.rs
+++ b/src/standins/service.rs
@@ -18,6 +18,17 @@
     pub lose_answers: u32,
 }
 
+/// Call as the service received it.
+#[derive(Clone, Debug)]
+pub struct ReceivedCall {
+    /// Request identifier.
+    pub request_id: String,
+    /// Idempotency key.
+    pub key: String,
+    /// When it arrived.
+    pub received_at: tokio::time::Instant,
+}
+
 /// Plain service stand-in; clones share one state.
 #[derive(Clone, Default)]
 pub struct ServiceStandin {
@@ -25,6 +36,8 @@
     pub faults: Arc<Mutex<ServiceFaults>>,
     /// Number of runs by idempotency key.
     pub runs: Arc<Mutex<HashMap<String, u32>>>,
+    /// Calls in the order of their arrival.
+    pub received: Arc<Mutex<Vec<ReceivedCall>>>,
 }
 
 impl ServiceStandin {
@@ -55,6 +68,11 @@
 impl ServiceHandler {
     async fn handle(&self, request: &mut Request, _depot: &mut Depot, response: &mut Response) {
         let key = request.header::<String>("idempotency-key").unwrap_or_default();
+        self.service.received.lock().push(ReceivedCall {
+            request_id: request.header("x-request-id").unwrap_or_default(),
+            key: key.clone(),
+            received_at: tokio::time::Instant::now(),
+        });
         let run = {
             let mut runs = self.service.runs.lock();
             let count = runs.entry(key.clone()).or_default();
--- a/tests/fault_world/mod.rs
+++ b/tests/fault_world/mod.rs
@@ -4,3 +4,10 @@
 
 pub mod observation;
 pub mod promises;
+
+pub mod callers;
+pub mod cell;
+pub mod faults;
+pub mod matrix;
+pub mod platform_world;
+pub mod steps;
