Tell claims the incarnation of members that the list named first

Cause: the claim members were renewed only when names or freshness changed. The list names an instance before a heartbeat tells its incarnation, so its process name never reached the claims, each instance took itself for the owner of more shards than it held, and bookings at the others were refused for good with claims_unavailable. Change: the claim members follow every refresh of the view.

--- a/src/node_members.rs
+++ b/src/node_members.rs
@@ -124,6 +124,9 @@
             live.map(|entry| entry.row.name.clone()).collect();
         members.sort_unstable();
         if former.members == members && former.freshness == freshness {
+            drop(table);
+            // A heartbeat may have told the incarnation of a member that the list named.
+            self.update_claim_members();
             return;
         }
         let addresses: Vec<_> = table.entries().iter().map(|entry| endpoint(entry, now)).collect();
