--- a/tests/fault_world/cell.rs
+++ b/tests/fault_world/cell.rs
@@ -103,31 +103,32 @@
     async fn settle(&self) -> Vec<String> {
         let mut unsettled = Vec::new();
         for instance in self.callable() {
-            if !self.answers_soon(&instance, false).await {
-                unsettled.push(format!("{} answers no chat request", instance.name));
-            }
-            if !self.answers_soon(&instance, true).await {
-                unsettled.push(format!("{} takes no booking", instance.name));
+            for booking in [false, true] {
+                if let Some(last) = self.failure_that_stays(&instance, booking).await {
+                    unsettled.push(format!("{} booking={booking}: {last:?}", instance.name));
+                }
             }
         }
         unsettled
     }
 
-    /// Whether an instance answers a chat request or a booking within `PATIENCE`.
-    async fn answers_soon(&self, instance: &CellInstance, booking: bool) -> bool {
+    /// Last outcome at an instance that gives no whole answer within `PATIENCE`.
+    async fn failure_that_stays(&self, instance: &CellInstance, booking: bool) -> Option<CallEnd> {
         let limit = self.now() + PATIENCE;
-        while self.now() < limit {
+        loop {
             let call = if booking {
                 self.book(instance, &format!("settle-{}", self.next_serial())).await
             } else {
                 self.chat(instance, ChatSpec::plain(3)).await
             };
             if matches!(call.end, CallEnd::Whole(_)) {
-                return true;
+                return None;
+            }
+            if self.now() >= limit {
+                return Some(call.end);
             }
             tokio::time::sleep(SAMPLE_INTERVAL).await;
         }
-        false
     }
 
     /// Keeps the load up until every bound has passed, so that late work would be seen.
