Hand over the copies of bills when an instance stops

Cause: an instance that stopped gracefully dropped the copies that it kept for others, so that the bills of an instance killed a few seconds earlier, not yet known to be dead, were lost. Nothing told the ledger either when another peer took over the copies. Change: a stopping instance flushes all copies and hands the rest to its peer; a changed peer makes the next copy carry all open bills.

--- a/src/bill_copies.rs
+++ b/src/bill_copies.rs
@@ -58,6 +58,18 @@
             .collect()
     }
 
+    /// All copies, for the peer that takes them over.
+    pub fn hand_over(&self) -> Vec<bill_ledger::BillCopy> {
+        let instances = self.instances.lock();
+        let open = instances.iter().filter(|(_, open)| !open.is_empty());
+        open.map(|(instance, open)| bill_ledger::BillCopy {
+            instance: instance.clone(),
+            flushed: open.flushed(),
+            bills: open.from_number(0).map(|(number, line)| (number, line.clone())).collect(),
+        })
+        .collect()
+    }
+
     /// Flushes the copies of an instance that the member table declares dead.
     /// On an error the remaining copies stay for the next call.
     pub async fn flush_as_successor(
--- a/src/node.rs
+++ b/src/node.rs
@@ -326,6 +326,7 @@
             tokio::time::sleep(STOP_POLL).await;
         }
         node_quota::hand_over(&node).await;
+        node.hand_over_copies().await;
         node.stopped.cancel();
         for system in self.systems.drain(..) {
             // A system that failed has nothing left to hand over.
--- a/src/node_bills.rs
+++ b/src/node_bills.rs
@@ -6,7 +6,9 @@
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
 
-use crate::{bill_batch, bill_ledger, bill_line, chat_job, ids, member_row, node, rendezvous};
+use crate::{
+    bill_batch, bill_ledger, bill_line, chat_job, ids, member_row, node, node_config, rendezvous,
+};
 
 /// Time between two looks for dead peers whose bills this node keeps.
 const SUCCESSOR_INTERVAL: Duration = Duration::from_secs(2);
@@ -92,16 +94,36 @@
         let ledger = Arc::clone(&self.ledger);
         let flushing = ledger.run(move || node.view.load().members.len(), self.stopped.clone());
         let succeeding = async {
+            let mut peer = None;
             loop {
                 tokio::select! {
                     () = self.stopped.cancelled() => return,
                     () = tokio::time::sleep(SUCCESSOR_INTERVAL) => self.flush_dead().await,
                 }
+                let former = std::mem::replace(&mut peer, self.bill_peer());
+                if former != peer {
+                    self.ledger.peer_changed();
+                }
             }
         };
         tokio::join!(flushing, succeeding);
     }
 
+    /// Flushes all copies before this node stops; a peer takes what the store does not.
+    ///
+    /// An instance that was killed a moment ago is not known to be dead yet.
+    pub async fn hand_over_copies(&self) {
+        for process in self.copies.instances() {
+            // What stays after an error goes to the peer.
+            let _ = self.copies.flush_as_successor(&process).await;
+        }
+        let Some(peer) = self.bill_peer() else { return };
+        for copy in self.copies.hand_over() {
+            // Without this the copies are lost as with a kill of this node.
+            let _ = self.peers.copy_bills(peer, node_config::SPREAD_LIMIT, &copy).await;
+        }
+    }
+
     async fn flush_dead(&self) {
         for process in self.copies.instances() {
             if !self.process_dead(&process) {
