--- a/src/node.rs
+++ b/src/node.rs
@@ -329,6 +329,7 @@
             }
             tokio::time::sleep(STOP_POLL).await;
         }
+        node.hand_over_copies().await;
         node.stopped.cancel();
         for system in self.systems.drain(..) {
             // A system that failed has nothing left to hand over.
