Rate answers of the engine stand-in by their mark

The rating stand-in judged answers by a model and an ability in their text, which the engine stand-in does not write, so that in a run with both the ratings contradicted the answers. An answer that begins with the engine's mark is now rated by it.

--- a/src/standins/rating.rs
+++ b/src/standins/rating.rs
@@ -2,7 +2,7 @@
 //!
 //! The difficulty of a request is a hash of its prompt, so that tests know which
 //! answers are good without asking. An answer names its model and the ability
-//! with which it was made.
+//! with which it was made, or begins with the mark of the engine stand-in.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3;
 
 use crate::rating_client;
+use crate::standins::difficulty;
 
 /// Share of the difficulty that all models meet alike; the rest differs by model.
 const SHARED_DIFFICULTY: f64 = 0.8;
@@ -61,7 +62,11 @@
 /// Score of an answer when a share of ratings is wrong.
 pub fn score(prompt: &str, answer: &str, wrong_share: f64) -> f64 {
     let both = format!("{prompt} {answer}");
-    let good = is_good(prompt, field(answer, "model=").unwrap_or(""), answer_ability(answer));
+    let good = match answer.split_whitespace().next() {
+        Some(difficulty::GOOD_MARK) => true,
+        Some(difficulty::POOR_MARK) => false,
+        _ => is_good(prompt, field(answer, "model=").unwrap_or(""), answer_ability(answer)),
+    };
     let wrong = unit_hash(both.as_bytes(), WRONG_SEED) < wrong_share;
     let spread = unit_hash(both.as_bytes(), SCORE_SEED);
     if good == wrong { 0.5 * spread } else { 1.0 - 0.01 * spread }
--- a/tests/rating_client.rs
+++ b/tests/rating_client.rs
@@ -115,3 +115,13 @@
     assert!((6_050..=6_450).contains(&good), "{good}");
     assert!((150..=250).contains(&wrong), "{wrong}");
 }
+
+/// Guards against ratings that contradict the mark of the engine stand-in in its answer.
+#[test]
+fn answers_of_the_engine_standin_are_rated_by_their_mark() {
+    for prompt in ["one", "two", "three", "four", "five", "six"] {
+        let good = rating::score(prompt, "good: small/v1 w2 w3 ", 0.0);
+        let poor = rating::score(prompt, "poor: small/v1 w2 w3 ", 0.0);
+        assert!(good > 0.98 && poor <= 0.5, "{prompt}: good {good}, poor {poor}");
+    }
+}
