--- a/src/node.rs
+++ b/src/node.rs
@@ -113,8 +113,6 @@
     pub home: Mutex<quota_home::QuotaHome>,
     /// Wakes the exchange of shares.
     pub quota_wake: Notify,
-    /// Signals the end of each exchange of shares.
-    pub shares_exchanged: Notify,
     /// Use of customers' limits.
     pub limits: Mutex<customer_limits::CustomerLimitTable>,
     /// Retry budgets.
@@ -196,7 +194,6 @@
                     now,
                 )),
                 quota_wake: Notify::new(),
-                shares_exchanged: Notify::new(),
                 limits: Mutex::default(),
                 retries: Mutex::default(),
                 queues: Mutex::default(),
--- a/src/standins/engine.rs
+++ b/src/standins/engine.rs
@@ -16,6 +16,11 @@
 
 use crate::standins::rating;
 
+/// First word of an answer that meets the quality wanted.
+pub const GOOD_MARK: &str = "good:";
+/// First word of an answer that does not.
+pub const POOR_MARK: &str = "poor:";
+
 /// What the engine is and how fast it answers.
 #[derive(Clone, Debug)]
 pub struct EngineOptions {
@@ -330,7 +335,7 @@
 /// Words of an answer; the rating stand-in reads model and ability from them.
 fn answer_words(options: &EngineOptions, prompt: &str, skill: f64, total: u64) -> Vec<String> {
     let good = rating::is_good(prompt, &options.model, skill);
-    let mark = if good { "good:" } else { "poor:" };
+    let mark = if good { GOOD_MARK } else { POOR_MARK };
     let rated = rating::answer_text(&options.model, skill);
     let text = format!("{mark} {}/{} {rated}", options.model, options.version);
     let mut words: Vec<String> = text.split_whitespace().map(|word| format!("{word} ")).collect();
