--- a/src/answer_reader.rs
+++ b/src/answer_reader.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use crate::event_catalogue::LogEvent;
 use crate::{
     chat_job, engine_client, error_body, ids, node, node_dispatch, refusal_reason, retry_budget,
     retry_reason,
@@ -140,6 +141,7 @@
                     self.ended = true;
                     let attempt = self.attempt.take();
                     if let Some(attempt) = attempt {
+                        self.note_mismatched(&attempt);
                         self.node.note_success(&attempt.dispatch);
                     }
                     return Ok(ReaderEvent::End(usage, reason));
@@ -222,12 +224,24 @@
         }
     }
 
+    /// Counts events of other requests that the attempt dropped.
+    fn note_mismatched(&self, attempt: &Attempt) {
+        let count = attempt.stream.mismatched();
+        if count == 0 {
+            return;
+        }
+        metrics::counter!("yuccareel_events_mismatched_total").increment(count);
+        let replica = attempt.dispatch.row.name.to_string();
+        self.node.emit(LogEvent::AnswerMismatched, slog::o!("replica" => replica));
+    }
+
     /// Resumes a broken attempt at its replica, or gives the replica up.
     async fn recover(
         &mut self,
         error: engine_client::AttemptError,
     ) -> Result<(), error_body::RequestRefusal> {
         let Some(attempt) = self.attempt.take() else { return Ok(()) };
+        self.note_mismatched(&attempt);
         self.node.note_failure(&attempt.dispatch, &error);
         self.may_retry(error)?;
         let offset = attempt.stream.next_offset();
@@ -239,6 +253,8 @@
             match self.open_at(attempt.dispatch, offset, true).await {
                 Ok(attempt) => {
                     self.attempt = Some(attempt);
+                    let request = format!("{:032x}", self.job.id);
+                    self.node.emit(LogEvent::StreamResumed, slog::o!("request" => request));
                     return Ok(());
                 }
                 Err((error, _)) => self.may_retry(error)?,
@@ -246,6 +262,8 @@
         }
         self.tried.push(name);
         if self.streamed && offset > 0 {
+            let request = format!("{:032x}", self.job.id);
+            self.node.emit(LogEvent::StreamTruncated, slog::o!("request" => request));
             let reason = refusal_reason::RefusalReason::AnswerTruncated;
             return Err(self.refusal(reason, "answer could not be resumed"));
         }
@@ -270,6 +288,9 @@
             return Err(self.failure());
         }
         metrics::counter!("yuccareel_retries_total", "reason" => reason.code()).increment(1);
+        let request = format!("{:032x}", self.job.id);
+        let fields = slog::o!("request" => request, "reason" => reason.code());
+        self.node.emit(LogEvent::AttemptRetried, fields);
         Ok(())
     }
 
--- a/src/chat_stream.rs
+++ b/src/chat_stream.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use serde_json::json;
 
+use crate::event_catalogue::LogEvent;
 use crate::{
     answer_reader, chat_flow, chat_job, chat_request, engine_client, ids, node, node_admission,
     node_rating, node_rollout, quality_table,
@@ -161,6 +162,8 @@
     /// The caller went away before the end.
     fn drop(&mut self) {
         if self.state == StreamState::Running {
+            let request = format!("{:032x}", self.job.id);
+            self.node.emit(LogEvent::CallerGone, slog::o!("request" => request));
             self.bill_partial();
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -268,8 +268,9 @@
 
     /// Counts a refusal by its reason.
     pub fn count_refusal(&self, refusal: &error_body::RequestRefusal) {
-        metrics::counter!("yuccareel_refusals_total", "reason" => refusal.reason.code())
-            .increment(1);
+        let reason = refusal.reason.code();
+        metrics::counter!("yuccareel_refusals_total", "reason" => reason).increment(1);
+        self.emit(LogEvent::RequestRefused, slog::o!("reason" => reason));
     }
 
     /// Starts the calls between nodes and all systems; they end with `stopped`.
--- a/src/node_bills.rs
+++ b/src/node_bills.rs
@@ -6,6 +6,7 @@
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
 
+use crate::event_catalogue::LogEvent;
 use crate::{
     bill_batch, bill_ledger, bill_line, chat_job, ids, member_row, node, node_config, rendezvous,
 };
@@ -74,12 +75,16 @@
             Ok(bill_ledger::BillProtection::Copied) => {}
             Ok(bill_ledger::BillProtection::Unprotected) => {
                 metrics::counter!("yuccareel_bills_unprotected_total").increment(1);
+                let request = format!("{:032x}", job.id);
+                self.emit(LogEvent::BillUnprotected, slog::o!("request" => request));
             }
             Ok(bill_ledger::BillProtection::AlreadyBilled) => return,
             Err(_) => {
                 // Room is checked at admission, so that only requests that were already
                 // running when the ledger filled up can get here.
                 metrics::counter!("yuccareel_bills_dropped_total").increment(1);
+                let request = format!("{:032x}", job.id);
+                self.emit(LogEvent::BillBufferFull, slog::o!("request" => request));
                 return;
             }
         }
@@ -132,6 +137,7 @@
             if let Ok(flush) = self.copies.flush_as_successor(&process).await {
                 let batches = flush.batches as u64;
                 metrics::counter!("yuccareel_successor_batches_total").increment(batches);
+                self.emit(LogEvent::BillTakenOver, slog::o!("process" => process.to_string()));
             }
         }
     }
--- a/src/node_claims.rs
+++ b/src/node_claims.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use crate::event_catalogue::LogEvent;
 use crate::refusal_reason::RefusalReason;
 use crate::{
     bill_batch, claim_record, claim_table, error_body, ids, node, node_config, peer_message,
@@ -100,6 +101,7 @@
                 peer_message::ClaimReply::Unavailable(message) => message,
             };
             if Instant::now() >= give_up {
+                self.emit(LogEvent::ClaimsUnavailable, slog::o!("cause" => unavailable.clone()));
                 let reason = RefusalReason::ClaimsUnavailable;
                 return Err(error_body::RequestRefusal::not_run(reason, unavailable));
             }
@@ -176,6 +178,8 @@
                 tokio::time::sleep(CLAIM_PAUSE).await;
             }
             metrics::counter!("yuccareel_claim_ends_lost_total").increment(1);
+            let request = format!("{:032x}", finish.request);
+            node.emit(LogEvent::ClaimOutcomeUnknown, slog::o!("request" => request));
         });
     }
 
--- a/src/node_config.rs
+++ b/src/node_config.rs
@@ -150,11 +150,13 @@
         if snapshot.sequence <= self.snapshot.load().sequence {
             return;
         }
+        let sequence = snapshot.sequence;
         self.tokens.store(Arc::new(token_index::TokenIndex::from_snapshot(&snapshot)));
         self.mark_returned(&snapshot);
         self.snapshot.store(snapshot);
         self.rebuild_routes();
         self.rebuild_endpoints(&self.view.load());
+        self.emit(LogEvent::ConfigInEffect, slog::o!("sequence" => sequence));
         self.queue_wake.notify_one();
     }
 
--- a/src/node_members.rs
+++ b/src/node_members.rs
@@ -212,7 +212,10 @@
             }
             match self.options.list.read().await {
                 Ok(entries) => self.adopt_list(entries, now),
-                Err(_) => metrics::counter!("yuccareel_list_reads_failed_total").increment(1),
+                Err(error) => {
+                    metrics::counter!("yuccareel_list_reads_failed_total").increment(1);
+                    self.emit(LogEvent::ListReadFailed, slog::o!("error" => error.to_string()));
+                }
             }
         }
     }
--- a/src/node_rating.rs
+++ b/src/node_rating.rs
@@ -4,6 +4,7 @@
 
 use rand::RngExt as _;
 
+use crate::event_catalogue::LogEvent;
 use crate::{cascade_policy, chat_job, node, node_rollout, quality_table, rating_client};
 
 /// Share of delivered answers that are rated for learning.
@@ -53,6 +54,7 @@
         self.rating_health.lock().record(score.is_ok());
         let Ok(score) = score else {
             metrics::counter!("yuccareel_ratings_failed_total").increment(1);
+            self.emit(LogEvent::RatingFailed, slog::o!());
             return None;
         };
         let passed = cascade_policy::passes(score, rated.quality_target);
--- a/src/node_replicas.rs
+++ b/src/node_replicas.rs
@@ -5,6 +5,7 @@
 
 use futures::StreamExt as _;
 
+use crate::event_catalogue::LogEvent;
 use crate::{
     cold_start, config_snapshot, engine_client, ids, instance_list, node, node_config,
     node_dispatch, peer_message, quota_home, quota_message, rendezvous, replica_subset,
@@ -148,6 +149,7 @@
         let turned = self.home.lock().apply_sign(replica, sign, tables, self.clock());
         if turned {
             metrics::counter!("yuccareel_replicas_turned_cold_total").increment(1);
+            self.emit(LogEvent::ReplicaCold, slog::o!("replica" => replica.to_string()));
         }
     }
 
--- a/src/node_rollout.rs
+++ b/src/node_rollout.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
+use crate::event_catalogue::LogEvent;
 use crate::{
     chat_job, config_snapshot, ids, kv_store, member_choice, node, node_config, peer_message,
     records, rollout_evidence, rollout_holder, rollout_stage,
@@ -109,6 +110,13 @@
             let counts = !matches!(outcome, AnswerOutcome::Rated(_));
             if counts && stops.record(&target.model.name, &target.version, failed) {
                 metrics::counter!("yuccareel_versions_stopped_total").increment(1);
+                self.emit(
+                    LogEvent::VersionStopped,
+                    slog::o!(
+                        "model" => target.model.name.to_string(),
+                        "version" => target.version.to_string()
+                    ),
+                );
             }
             if stops.stopped(&target.model.name, &target.version) {
                 stopped.insert(self.process.clone());
@@ -160,8 +168,16 @@
             return;
         }
         if self.watches() {
+            let held = holder.role().is_some();
             // An error leaves the role as it was.
             let _ = holder.tick().await;
+            match (held, holder.role()) {
+                (false, Some(role)) => {
+                    self.emit(LogEvent::HolderTaken, slog::o!("token" => role.token));
+                }
+                (true, None) => self.emit(LogEvent::HolderLost, slog::o!()),
+                _ => {}
+            }
         }
         match holder.role() {
             Some(role) => {
@@ -283,10 +299,15 @@
         match decided {
             Ok(rollout_stage::RolloutDecision::Hold) => {}
             Ok(decision) => {
-                let label = match decision {
-                    rollout_stage::RolloutDecision::RollBack(_) => "roll_back",
-                    _ => "advance",
+                let (label, event) = match decision {
+                    rollout_stage::RolloutDecision::RollBack(_) => {
+                        ("roll_back", LogEvent::RolloutRolledBack)
+                    }
+                    _ => ("advance", LogEvent::RolloutAdvanced),
                 };
+                let decision = format!("{decision:?}");
+                let rollout = record.name.to_string();
+                node.emit(event, slog::o!("rollout" => rollout, "decision" => decision));
                 metrics::counter!("yuccareel_rollout_decisions_total", "decision" => label)
                     .increment(1);
             }
--- a/src/node_versions.rs
+++ b/src/node_versions.rs
@@ -5,6 +5,7 @@
 
 use smallvec::SmallVec;
 
+use crate::event_catalogue::LogEvent;
 use crate::refusal_reason::RefusalReason;
 use crate::{
     cascade_policy, chat_job, chat_request, config_snapshot, error_body, ids, node, peer_message,
@@ -88,6 +89,10 @@
             Some(session) => self.session_version(job, session, model, &preferred, &snapshot).await,
             None => self.sessionless_version(job, model, &preferred, &snapshot),
         };
+        if let Some(reason) = found.as_ref().and_then(|found| found.repinned) {
+            let fields = slog::o!("model" => model.to_string(), "reason" => reason.code());
+            self.emit(LogEvent::SessionRepinned, fields);
+        }
         let found = found.ok_or_else(|| {
             let message = "every allowed version is withdrawn".to_owned();
             not_run(RefusalReason::VersionWithdrawn, message)
--- a/tests/event_catalogue.rs
+++ b/tests/event_catalogue.rs
@@ -59,11 +59,29 @@
     let text = SharedText::default();
     let drain = std::sync::Mutex::new(slog_json::Json::default(text.clone())).fuse();
     let logger = slog::Logger::root(drain, slog::o!());
-    event_catalogue::emit(&logger, LogEvent::MemberDead, slog::o!("member" => "node-b"));
+    event_catalogue::emit(&logger, LogEvent::ReplicaCold, slog::o!("replica" => "engine-1"));
     let line: serde_json::Value = serde_json::from_slice(&text.0.lock()).unwrap();
-    assert_eq!(line["event"], 303);
-    assert_eq!(line["code"], "member_dead");
-    assert_eq!(line["level"], "WARN");
-    assert_eq!(line["msg"], "member is dead");
-    assert_eq!(line["member"], "node-b");
+    assert_eq!(line["event"], 510);
+    assert_eq!(line["code"], "replica_cold");
+    assert_eq!(line["level"], "INFO");
+    assert_eq!(line["msg"], "replica turned cold");
+    assert_eq!(line["replica"], "engine-1");
+}
+
+/// Guards against catalogue entries that no code emits.
+#[test]
+fn every_event_is_emitted() {
+    let sources = std::fs::read_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/src")).unwrap();
+    let paths = sources.map(|entry| entry.unwrap().path());
+    let files = paths.filter(|path| path.extension().is_some_and(|extension| extension == "rs"));
+    let code: String = files.map(|path| std::fs::read_to_string(path).unwrap()).collect();
+    let bins = concat!(env!("CARGO_MANIFEST_DIR"), "/src/bin/yuccareeld.rs");
+    let code = code + &std::fs::read_to_string(bins).unwrap();
+    for event in LogEvent::ALL {
+        let name = format!("LogEvent::{event:?}");
+        let used = code.match_indices(&name).any(|(place, _)| {
+            !code[place + name.len()..].starts_with(|next: char| next.is_alphanumeric())
+        });
+        assert!(used, "{name} is in the catalogue and never emitted");
+    }
 }
