Wait for a larger share before refusing by a customer's limit

Cause: a node refused with concurrency_limited, spend_limited or rate_limited as soon as its own share was used up, though the home had more to grant: 8 requests at once against a limit of 1,000 were refused. Change: a request waits for one exchange as long as the home granted all that was asked for and the share is below the limit; a waiting request counts as one arrival.

--- a/src/customer_limits.rs
+++ b/src/customer_limits.rs
@@ -25,7 +25,7 @@
 pub enum LimitOutcome {
     /// Counted; `finish` must follow.
     Admitted,
-    /// The first exchange with a home is under way; ask again when it is over.
+    /// The home may grant a share or a larger one; ask again after an exchange.
     AwaitShare,
     /// Over a limit.
     Refused(RefusalReason),
@@ -67,6 +67,27 @@
         let row = self.rows.entry(customer.name.clone()).or_default();
         row.turn(day, now);
         row.arrivals = row.arrivals.saturating_add(1);
+        let outcome = self.admit_waiting(customer, estimate, shares, nodes, day, now);
+        if outcome != LimitOutcome::Admitted
+            && let Some(row) = self.rows.get_mut(&customer.name)
+        {
+            row.note_refused(estimate);
+        }
+        outcome
+    }
+
+    /// Checks again for a request that waits for a share; it counts as one arrival.
+    pub fn admit_waiting(
+        &mut self,
+        customer: &records::customer::CustomerRecord,
+        estimate: ids::Microcredits,
+        shares: &ShareTable,
+        nodes: usize,
+        day: u64,
+        now: Duration,
+    ) -> LimitOutcome {
+        let row = self.rows.entry(customer.name.clone()).or_default();
+        row.turn(day, now);
         let asked = |kind| shares.state(kind, &customer.name, now) != ShareState::Unasked;
         let kinds = [
             ResourceKind::CustomerRate,
@@ -74,7 +95,6 @@
             ResourceKind::CustomerSpend,
         ];
         if !kinds.into_iter().all(asked) {
-            row.note_refused(estimate);
             return LimitOutcome::AwaitShare;
         }
         let amount = |kind, limit| shares.customer_amount(kind, &customer.name, limit, nodes, now);
@@ -88,17 +108,21 @@
             ShareState::Unasked | ShareState::NoHome => row.spent,
         };
         let refusal = if row.tokens < REQUEST_TOKENS {
-            Some(RefusalReason::RateLimited)
+            Some((RefusalReason::RateLimited, ResourceKind::CustomerRate))
         } else if u64::from(row.in_flight) >= concurrency {
-            Some(RefusalReason::ConcurrencyLimited)
+            Some((RefusalReason::ConcurrencyLimited, ResourceKind::CustomerConcurrency))
         } else if used + row.reserved + estimate > spend {
-            Some(RefusalReason::SpendLimited)
+            Some((RefusalReason::SpendLimited, ResourceKind::CustomerSpend))
         } else {
             None
         };
-        if let Some(reason) = refusal {
-            row.note_refused(estimate);
-            return LimitOutcome::Refused(reason);
+        match refusal {
+            // The share is used up, but the limit may not be reached.
+            Some((_, kind)) if shares.may_grow(kind, &customer.name, now) => {
+                return LimitOutcome::AwaitShare;
+            }
+            Some((reason, _)) => return LimitOutcome::Refused(reason),
+            None => {}
         }
         row.tokens -= REQUEST_TOKENS;
         row.in_flight += 1;
--- a/src/node_admission.rs
+++ b/src/node_admission.rs
@@ -8,7 +8,7 @@
 
 /// Time between two looks at a share that is being asked for.
 const SHARE_POLL: Duration = Duration::from_millis(2);
-/// Time for the first share of a customer.
+/// Time for the first or a larger share of a customer.
 const SHARE_WAIT: Duration = Duration::from_millis(600);
 
 /// Admitted request; counts against the customer's limits while it lives.
@@ -51,8 +51,9 @@
             return Err(not_run(RefusalReason::Overloaded, "no room for another bill"));
         }
         let began = self.clock();
+        let mut waiting = false;
         loop {
-            match self.try_admit(customer, estimate) {
+            match self.try_admit(customer, estimate, waiting) {
                 customer_limits::LimitOutcome::Admitted => break,
                 customer_limits::LimitOutcome::Refused(reason) => {
                     return Err(not_run(reason, "limit of the customer is reached"));
@@ -62,6 +63,7 @@
                         let message = "the customer's limits cannot be checked now";
                         return Err(not_run(RefusalReason::Overloaded, message));
                     }
+                    waiting = true;
                     self.quota_wake.notify_one();
                     tokio::time::sleep(SHARE_POLL).await;
                 }
@@ -79,10 +81,15 @@
         &self,
         customer: &records::customer::CustomerRecord,
         estimate: ids::Microcredits,
+        waiting: bool,
     ) -> customer_limits::LimitOutcome {
         let nodes = self.view.load().members.len().max(1);
         let shares = self.shares.lock();
         let mut limits = self.limits.lock();
-        limits.admit(customer, estimate, &shares, nodes, node_quota::day_number(), self.clock())
+        let (day, now) = (node_quota::day_number(), self.clock());
+        if waiting {
+            return limits.admit_waiting(customer, estimate, &shares, nodes, day, now);
+        }
+        limits.admit(customer, estimate, &shares, nodes, day, now)
     }
 }
--- a/src/quota_lease.rs
+++ b/src/quota_lease.rs
@@ -72,6 +72,8 @@
 struct ShareRow {
     use_now: ShareUse,
     share: Option<LeasedShare>,
+    /// Whether the home granted all that was asked for, so that it may have more.
+    satisfied: bool,
     /// Whether the last share was larger than the one before by an eighth.
     grew: bool,
     /// Time until which the last answer says that there is no home.
@@ -117,7 +119,8 @@
 struct SentRequest {
     number: u64,
     sent_at: Duration,
-    used: SmallVec<[(quota_message::ResourceKey, u64); 4]>,
+    /// Total use and wanted quantity of each resource.
+    used: SmallVec<[(quota_message::ResourceKey, u64, u64); 4]>,
 }
 
 impl ShareTable {
@@ -184,7 +187,8 @@
         if contact.sent.len() == SENT_KEPT {
             contact.sent.remove(0);
         }
-        let used = wants.iter().map(|want| (want.resource.clone(), want.used)).collect();
+        let used =
+            wants.iter().map(|want| (want.resource.clone(), want.used, want.wanted)).collect();
         contact.sent.push(SentRequest { number: self.number, sent_at: now, used });
         let request = quota_message::ShareRequest {
             node: self.node.clone(),
@@ -218,16 +222,18 @@
                 grant.outcome
                 && newer
             {
-                let used = sent.used.iter().find(|(resource, _)| *resource == grant.resource);
+                let stated = sent.used.iter().find(|(resource, ..)| *resource == grant.resource);
+                let (used, wanted) = stated.map_or((0, 0), |(_, used, wanted)| (*used, *wanted));
                 let former = row.share.map_or(0, |share| share.amount);
                 row.grew = amount > former + former / 8;
+                row.satisfied = amount >= wanted;
                 row.share = Some(LeasedShare {
                     number: reply.number,
                     amount,
                     quantity,
                     cold,
                     epoch,
-                    used_at_send: used.map_or(0, |(_, used)| *used),
+                    used_at_send: used,
                     expires_at: sent.sent_at + quota_message::SHARE_LEASE,
                 });
             }
@@ -264,6 +270,13 @@
         }
     }
 
+    /// Whether the home may grant more than the share that is held.
+    pub fn may_grow(&self, kind: quota_message::ResourceKind, name: &str, now: Duration) -> bool {
+        let Some(row) = self.rows[kind as usize].get(name) else { return true };
+        let held = row.share.filter(|share| now < share.expires_at);
+        held.is_some_and(|share| row.satisfied && share.amount < share.quantity)
+    }
+
     /// Leased amount now; 0 without a lease.
     pub fn leased(&self, kind: quota_message::ResourceKind, name: &str, now: Duration) -> u64 {
         match self.state(kind, name, now) {
