--- a/src/node_admission.rs
+++ b/src/node_admission.rs
@@ -8,7 +8,7 @@
 
 /// Time between two looks at a share that is being asked for.
 const SHARE_POLL: Duration = Duration::from_millis(2);
-/// Time for the first or a larger share of a customer.
+/// Time for the first share of a customer.
 const SHARE_WAIT: Duration = Duration::from_millis(600);
 
 /// Admitted request; counts against the customer's limits while it lives.
@@ -63,7 +63,6 @@
                         let message = "the customer's limits cannot be checked now";
                         return Err(not_run(RefusalReason::Overloaded, message));
                     }
-                    waiting = true;
                     self.quota_wake.notify_one();
                     tokio::time::sleep(SHARE_POLL).await;
                     outcome = self.try_admit(customer, estimate, false);
--- a/src/quota_lease.rs
+++ b/src/quota_lease.rs
@@ -72,8 +72,6 @@
 struct ShareRow {
     use_now: ShareUse,
     share: Option<LeasedShare>,
-    /// Whether the home granted all that was asked for, so that it may have more.
-    satisfied: bool,
     /// Whether the last share was larger than the one before by an eighth.
     grew: bool,
     /// Time until which the last answer says that there is no home.
@@ -225,7 +223,6 @@
                 let want = sent.wants.iter().find(|want| want.resource == grant.resource);
                 let former = row.share.map_or(0, |share| share.amount);
                 row.grew = amount > former + former / 8;
-                row.satisfied = amount >= wanted;
                 row.share = Some(LeasedShare {
                     number: reply.number,
                     amount,
@@ -270,13 +267,6 @@
         }
     }
 
-    /// Whether the home may grant more than the share that is held.
-    pub fn may_grow(&self, kind: quota_message::ResourceKind, name: &str, now: Duration) -> bool {
-        let Some(row) = self.rows[kind as usize].get(name) else { return true };
-        let held = row.share.filter(|share| now < share.expires_at);
-        held.is_some_and(|share| row.satisfied && share.amount < share.quantity)
-    }
-
     /// Leased amount now; 0 without a lease.
     pub fn leased(&self, kind: quota_message::ResourceKind, name: &str, now: Duration) -> u64 {
         match self.state(kind, name, now) {
