--- a/tests/fault_matrix.rs
+++ b/tests/fault_matrix.rs
@@ -24,11 +24,15 @@
     check(PAIR_SEEDS.map(matrix::pair_of_faults).into()).await;
 }
 
-/// `FAULT_CELL` selects cells by a part of their printed form, to repeat a finding.
+/// `FAULT_CELL` selects cells by a part of their printed form and `FAULT_REPEAT` runs each
+/// several times, to repeat a finding.
 async fn check(mut cells: Vec<FaultCell>) {
     if let Ok(name) = std::env::var("FAULT_CELL") {
         cells.retain(|cell| format!("{cell:?}").contains(&name));
     }
+    if let Some(times) = std::env::var("FAULT_REPEAT").ok().and_then(|times| times.parse().ok()) {
+        cells = cells.into_iter().flat_map(|cell| vec![cell; times]).collect();
+    }
     let lines = matrix::report(&matrix::run(cells).await);
     assert!(lines.is_empty(), "{} findings:\n{}", lines.len(), lines.join("\n"));
 }
--- a/tests/fault_world/promises.rs
+++ b/tests/fault_world/promises.rs
@@ -123,7 +123,10 @@
                 && period.until.is_none_or(|until| arrival.at < until)
                 && hits(&period.ban, arrival)
         });
-        found.extend(late.map(|arrival| format!("{period:?}: {arrival:?}")));
+        found.extend(late.map(|arrival| {
+            let call = |call: &&CallerCall| call.request_id.as_ref() == Some(&arrival.request_id);
+            format!("{period:?}: {arrival:?} of {:?}", seen.calls.iter().find(call))
+        }));
     }
     found
 }
