Read the replica table and its subset as one; keep updates in order

Cause: a decision read the table and the subset separately. Between the two stores of a changed list, positions of one table were looked up in the other, and a chat request could go to a plain service or to another version. Two threads that put configurations into effect could store the older one last, and a load report that raced with a list could drop a leaving mark for good. Change: table and subset are stored as one view; updates hold a lock; the newest list is merged last.

--- a/src/node.rs
+++ b/src/node.rs
@@ -97,14 +97,18 @@
     pub confirmation: Mutex<freshness::ConfirmationClock>,
     /// Instance list as last read or received.
     pub listed: Mutex<node_view::ListedView>,
+    /// Held while a list is merged, so that the newest is merged last.
+    pub list_merge: Mutex<()>,
     /// Members and freshness as of the last tick.
     pub view: ArcSwap<node_view::NodeView>,
     /// Addresses for callers.
     pub endpoints: ArcSwap<endpoint_answer::EndpointDirectory>,
     /// Known replicas.
     pub replicas: ArcSwap<replica_table::ReplicaTable>,
-    /// Replicas that this node uses.
-    pub subset: ArcSwap<replica_subset::ReplicaSubset>,
+    /// The same replicas with those that this node uses.
+    pub routes: ArcSwap<replica_subset::RouteView>,
+    /// Held while configuration, list or load reports change the tables derived from them.
+    pub table_update: Mutex<()>,
     /// What this node learned of its replicas.
     pub learned: Mutex<HashMap<ids::ReplicaName, node_replicas::LearnedRow>>,
     /// Shares that this node holds.
@@ -182,10 +186,12 @@
                 members: Mutex::new(member_table::MemberTable::new(own, now)),
                 confirmation: Mutex::default(),
                 listed: Mutex::default(),
+                list_merge: Mutex::default(),
                 view: ArcSwap::default(),
                 endpoints: ArcSwap::default(),
                 replicas: ArcSwap::default(),
-                subset: ArcSwap::default(),
+                routes: ArcSwap::default(),
+                table_update: Mutex::default(),
                 learned: Mutex::default(),
                 shares: Mutex::new(quota_lease::ShareTable::new(options.name.clone(), incarnation)),
                 home: Mutex::new(quota_home::QuotaHome::new(
--- a/src/node_config.rs
+++ b/src/node_config.rs
@@ -146,6 +146,7 @@
 
     /// Swaps in the log's snapshot with all that is derived from it.
     pub fn put_in_effect(&self) {
+        let update = self.table_update.lock();
         let snapshot = Arc::clone(self.log.lock().snapshot());
         if snapshot.sequence <= self.snapshot.load().sequence {
             return;
@@ -153,7 +154,8 @@
         self.tokens.store(Arc::new(token_index::TokenIndex::from_snapshot(&snapshot)));
         self.mark_returned(&snapshot);
         self.snapshot.store(snapshot);
-        self.rebuild_routes();
+        self.derive_routes(self.replicas.load_full());
+        drop(update);
         self.queue_wake.notify_one();
     }
 
--- a/src/node_dispatch.rs
+++ b/src/node_dispatch.rs
@@ -132,18 +132,18 @@
     }
 
     fn decide(&self, query: &DispatchQuery<'_>) -> Result<DispatchGuard, RefusalReason> {
-        let (snapshot, table) = (self.snapshot.load(), self.replicas.load());
-        let (subset, view) = (self.subset.load(), self.view.load());
+        let (snapshot, routes, view) = (self.snapshot.load(), self.routes.load(), self.view.load());
+        let (table, subset) = (&routes.table, &routes.subset);
         let shares = self.shares.lock();
         let tables = route_decision::RouteTables {
             snapshot: &snapshot,
-            table: &table,
-            subset: &subset,
+            table,
+            subset,
             shares: &shares,
             nodes: view.members.len().max(1),
             fresh: view.freshness.starts_work(),
         };
-        let bonus = self.prefix_bonus(query, &table, &subset);
+        let bonus = self.prefix_bonus(query, table, subset);
         let request = route_decision::RouteRequest {
             customer: query.customer,
             pool: query.pool,
@@ -264,15 +264,15 @@
         target: &chat_job::VersionTarget,
         dispatch: &DispatchGuard,
     ) -> Result<(), error_body::RequestRefusal> {
-        let (snapshot, table) = (self.snapshot.load(), self.replicas.load());
-        let (subset, view) = (self.subset.load(), self.view.load());
+        let (snapshot, routes, view) = (self.snapshot.load(), self.routes.load(), self.view.load());
+        let (table, subset) = (&routes.table, &routes.subset);
         let pool =
             replica_table::ReplicaPool::Version(target.model.name.clone(), target.version.clone());
         let shares = self.shares.lock();
         let tables = route_decision::RouteTables {
             snapshot: &snapshot,
-            table: &table,
-            subset: &subset,
+            table,
+            subset,
             shares: &shares,
             nodes: view.members.len().max(1),
             fresh: view.freshness.starts_work(),
--- a/src/node_members.rs
+++ b/src/node_members.rs
@@ -203,9 +203,11 @@
     }
 
     fn merge_listed(&self, now: Duration) {
+        let merging = self.list_merge.lock();
         let entries = self.listed.lock().entries.clone();
         self.members.lock().merge_list(now, &entries);
         self.replace_replicas(&entries);
+        drop(merging);
         self.refresh_view();
     }
 
--- a/src/node_quota.rs
+++ b/src/node_quota.rs
@@ -86,13 +86,12 @@
         let mut shares = self.shares.lock();
         let mut urgent = self.limits.lock().state_use(&mut shares, day_number(), now);
         let waiting = self.waiting_by_pool();
-        let table = self.replicas.load();
-        let subset = self.subset.load();
+        let routes = self.routes.load();
         for (pool, waiting) in waiting {
-            let members = subset.members(&pool);
+            let members = routes.subset.members(&pool);
             let each = waiting.div_ceil(members.len().max(1) as u64);
             for member in members {
-                let row = table.row(member.index);
+                let row = routes.table.row(member.index);
                 urgent |= self.state_replica_use(&mut shares, row, each, now);
             }
         }
--- a/src/node_replicas.rs
+++ b/src/node_replicas.rs
@@ -45,10 +45,11 @@
     }
 
     async fn read_reports(&self) {
-        let table = self.replicas.load_full();
+        let routes = self.routes.load_full();
+        let table = &routes.table;
         let view = self.view.load();
-        let subset = self.subset.load();
-        let used: std::collections::HashSet<_> = subset.all().map(|member| member.index).collect();
+        let used: std::collections::HashSet<_> =
+            routes.subset.all().map(|member| member.index).collect();
         let mut read: Vec<(ids::ReplicaName, std::net::SocketAddr)> = Vec::new();
         for (index, row) in table.rows().iter().enumerate() {
             let home = replica_home(&row.name, &view.members);
@@ -70,6 +71,7 @@
         &self,
         reports: Vec<(ids::ReplicaName, Result<engine_client::EngineLoad, reqwest::Error>)>,
     ) {
+        let update = self.table_update.lock();
         let now = self.clock();
         let mut table = (**self.replicas.load()).clone();
         let mut received = Vec::new();
@@ -83,7 +85,9 @@
             received.push((name, report));
         }
         let table = Arc::new(table);
-        self.replicas.store(Arc::clone(&table));
+        let subset = Arc::clone(&self.routes.load().subset);
+        self.store_routes(Arc::clone(&table), subset);
+        drop(update);
         let snapshot = self.snapshot.load();
         let tables = quota_home::QuotaTables { snapshot: &snapshot, table: &table };
         let mut home = self.home.lock();
@@ -94,22 +98,32 @@
 
     /// Replaces the replicas by those of an instance list.
     pub fn replace_replicas(&self, list: &[instance_list::ListedInstance]) {
+        let update = self.table_update.lock();
         let table = replica_table::ReplicaTable::from_list(list, &self.replicas.load());
-        self.replicas.store(Arc::new(table));
-        self.rebuild_routes();
+        self.derive_routes(Arc::new(table));
+        drop(update);
         self.queue_wake.notify_one();
     }
 
-    /// Rebuilds what is derived from configuration and replicas.
-    pub fn rebuild_routes(&self) {
-        let (snapshot, table) = (self.snapshot.load(), self.replicas.load());
+    /// Stores a replica table with the subset derived from it; needs `table_update`.
+    pub fn derive_routes(&self, table: Arc<replica_table::ReplicaTable>) {
+        let snapshot = self.snapshot.load();
         let subset = replica_subset::ReplicaSubset::build(
             &snapshot,
             &table,
             &self.options.name,
             &self.options.data_centre,
         );
-        self.subset.store(Arc::new(subset));
+        self.store_routes(table, Arc::new(subset));
+    }
+
+    fn store_routes(
+        &self,
+        table: Arc<replica_table::ReplicaTable>,
+        subset: Arc<replica_subset::ReplicaSubset>,
+    ) {
+        self.replicas.store(Arc::clone(&table));
+        self.routes.store(Arc::new(replica_subset::RouteView { table, subset }));
     }
 
     /// Treats the replicas of data centres that return as cold.
--- a/src/replica_subset.rs
+++ b/src/replica_subset.rs
@@ -5,6 +5,7 @@
 //! changes, not for each decision.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use smallvec::SmallVec;
 
@@ -22,6 +23,16 @@
     pub distance_us: u32,
 }
 
+/// Replica table with the subset whose positions refer to it; read as one, because a subset
+/// of another table names other replicas.
+#[derive(Clone, Debug, Default)]
+pub struct RouteView {
+    /// Known replicas.
+    pub table: Arc<replica_table::ReplicaTable>,
+    /// Replicas that this node uses.
+    pub subset: Arc<ReplicaSubset>,
+}
+
 /// Replicas that this node uses, by pool.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaSubset {
