Ask for a share of spend for requests without cost

A booking reserves no money, so a node older than 6 s that saw only bookings of a customer never asked for the customer's spend and refused them after 0.6 s. It now wants at least one microcredit. The new test failed before (AwaitShare) and passes now.

--- a/src/customer_limits.rs
+++ b/src/customer_limits.rs
@@ -203,6 +203,8 @@
         // Money for the arrivals of one second and a spare request.
         let coming = self.estimate * (u64::from(arrivals) + u64::from(recent));
         let spend = headroom(self.reserved + self.refused_cost) + coming;
+        // Requests without cost need a share, too, or they would wait for one forever.
+        let spend = spend.max(u64::from(recent));
         let mut state = |kind, wanted, in_use, used, period| {
             let use_now = ShareUse { wanted, in_use, used, period };
             shares.set_use(kind, name, use_now, now)
--- a/tests/customer_limits.rs
+++ b/tests/customer_limits.rs
@@ -225,3 +225,17 @@
     }
     assert!(waited <= 1, "{waited} of 40 requests waited for a share");
 }
+
+/// Guards against a limit that is never asked for, because the requests cost nothing and the
+/// node is older than the time for which an idle share is renewed.
+#[test]
+fn requests_without_cost_get_a_share_of_spend() {
+    let (record, now) = (record(), ms(20_000));
+    let mut limits = CustomerLimitTable::default();
+    let mut shares = ShareTable::new("node".into(), 1);
+    limits.admit(&record, 0, &shares, 2, 1, now);
+    limits.state_use(&mut shares, 1, now);
+    exchange(&mut shares, &|_| Some(8_000), now);
+    let outcome = limits.admit(&record, 0, &shares, 2, 1, now + ms(1));
+    assert_eq!(outcome, LimitOutcome::Admitted);
+}
