Refresh what follows from the member table when its rows change

The claim store and the endpoints were updated only when the names of the live members changed. A peer that was known from the instance list before its first heartbeat got its incarnation without such a change, so the instances disagreed on the claim owners and most shards had none. The view now keeps the digests of the member table and is rebuilt when they change.

--- a/src/node_members.rs
+++ b/src/node_members.rs
@@ -123,7 +123,11 @@
         let mut members: Vec<ids::InstanceName> =
             live.map(|entry| entry.row.name.clone()).collect();
         members.sort_unstable();
-        if former.members == members && former.freshness == freshness {
+        // A peer known from the list gets its incarnation, and a restarted one its new
+        // addresses, without a change of the names.
+        let digests = *table.digests();
+        let same_rows = former.members == members && former.digests == digests;
+        if same_rows && former.freshness == freshness {
             return;
         }
         let addresses: Vec<_> = table.entries().iter().map(|entry| endpoint(entry, now)).collect();
@@ -136,7 +140,7 @@
             &self.options.data_centre,
         );
         self.endpoints.store(Arc::new(directory));
-        self.view.store(Arc::new(node_view::NodeView { freshness, members }));
+        self.view.store(Arc::new(node_view::NodeView { freshness, members, digests }));
         self.update_claim_members();
     }
 
--- a/src/node_view.rs
+++ b/src/node_view.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3;
 
-use crate::{freshness, ids, instance_list};
+use crate::{freshness, ids, instance_list, member_digest};
 
 /// Members and freshness as of the last tick.
 #[derive(Clone, Debug)]
@@ -13,11 +13,17 @@
     pub freshness: freshness::Freshness,
     /// Live nodes, this one included.
     pub members: Vec<ids::InstanceName>,
+    /// Digests of the member table, which change with incarnations and addresses.
+    pub digests: member_digest::TableDigest,
 }
 
 impl Default for NodeView {
     fn default() -> Self {
-        Self { freshness: freshness::Freshness::Isolated, members: Vec::new() }
+        Self {
+            freshness: freshness::Freshness::Isolated,
+            members: Vec::new(),
+            digests: [0; member_digest::DIGEST_BUCKETS],
+        }
     }
 }
 
