Hold the ports of the measured instance until it starts

With 1,300 peers another socket took the port: 1 of 9 sizes of scripts/control_cost.sh failed. Instances are now replaced with overlapping leave times, so that each may finish its requests within the phase.

--- a/examples/control_cost.rs
+++ b/examples/control_cost.rs
@@ -63,7 +63,8 @@
         matches.opt_str(name).map(PathBuf::from).ok_or_else(|| format!("--{name} is missing"))
     };
     let (settings_file, pid_file) = (file("settings-file")?, file("pid-file")?);
-    let world = ControlWorld::start(size).await;
+    let mut world = ControlWorld::start(size).await;
+    world.release_ports();
     write_settings(&world, &settings_file).map_err(|error| error.to_string())?;
     let pid = wait_for_pid(&pid_file).await?;
     let time = Duration::from_secs_f64(number("seconds", 20.0)?);
--- a/examples/control_world/mod.rs
+++ b/examples/control_world/mod.rs
@@ -47,6 +47,8 @@
     /// Address for callers.
     pub listen: SocketAddr,
     pub bytes: ByteCount,
+    /// Ports of the measured instance, held so that nothing here takes them.
+    reserved: Vec<std::net::TcpListener>,
     peers: Option<Arc<fake_peers::FakePeers>>,
     _real: Vec<daemon::ServedNode>,
 }
@@ -55,7 +57,8 @@
     /// Starts everything but the measured instance.
     pub async fn start(size: WorldSize) -> Self {
         let bytes = ByteCount::default();
-        let (listen, peer_listen) = (free_port(), free_port());
+        let reserved = [reserve_port(), reserve_port()];
+        let [listen, peer_listen] = reserved.each_ref().map(bound_address);
         let peer_advertise = counted_link::start(peer_listen, Arc::clone(&bytes)).await;
         let platform = start_platform(&size).await;
         platform.list_entry(MEASURED, listen, peer_advertise, "dc-00");
@@ -66,6 +69,7 @@
             peer_advertise,
             listen,
             bytes,
+            reserved: reserved.into(),
             peers: None,
             _real: Vec::new(),
         };
@@ -79,6 +83,11 @@
         world
     }
 
+    /// Gives up the ports of the measured instance, which is to start now.
+    pub fn release_ports(&mut self) {
+        self.reserved.clear();
+    }
+
     /// Number of data centres.
     pub fn data_centres(size: &WorldSize) -> usize {
         size.nodes.div_ceil(NODES_PER_DATA_CENTRE).max(3)
@@ -102,7 +111,7 @@
 
     async fn start_real(&mut self) {
         for place in 1..self.size.nodes {
-            let peer_listen = free_port();
+            let peer_listen = bound_address(&reserve_port());
             let advertise = counted_link::start(peer_listen, Arc::clone(&self.bytes)).await;
             let name = format!("real-{place}");
             let data_centre = format!("dc-{:02}", place % Self::data_centres(&self.size));
@@ -258,8 +267,11 @@
     })
 }
 
-/// Loopback address with a port that is free now.
-fn free_port() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("free loopback port");
+/// Listener on a free loopback port.
+fn reserve_port() -> std::net::TcpListener {
+    std::net::TcpListener::bind("127.0.0.1:0").expect("free loopback port")
+}
+
+fn bound_address(listener: &std::net::TcpListener) -> SocketAddr {
     listener.local_addr().expect("bound address")
 }
--- a/examples/measure_world/caller.rs
+++ b/examples/measure_world/caller.rs
@@ -18,7 +18,7 @@
 use super::{fleet, shape};
 
 /// Time between two reads of the endpoints; the time to live, scaled like the leave time.
-const REFRESH: Duration = Duration::from_millis(400);
+const REFRESH: Duration = Duration::from_secs(2);
 /// Instances that a caller tries when it cannot connect.
 const CONNECT_TRIES: usize = 4;
 /// Time for one request.
--- a/examples/measure_world/fleet.rs
+++ b/examples/measure_world/fleet.rs
@@ -15,8 +15,8 @@
 
 /// Time in which a condition of the fleet must come true.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
-/// Time for which a stopping instance accepts requests; callers refresh twice as often.
-pub const LEAVE_TIME: Duration = Duration::from_millis(1_000);
+/// Time for which a stopping instance accepts requests, and then for those in flight.
+pub const LEAVE_TIME: Duration = Duration::from_secs(4);
 /// Entry instances.
 pub const NODES: usize = 8;
 
--- a/examples/measure_world/operator.rs
+++ b/examples/measure_world/operator.rs
@@ -61,7 +61,7 @@
                     tokio::time::sleep_until(until).await;
                     self.fleet.platform.kv.faults.lock().outage = false;
                 }
-                PhaseName::Replace => self.replace().await,
+                PhaseName::Replace => self.replace(until - from).await,
             }
         }
         self.log
@@ -175,11 +175,13 @@
     }
 
     /// Replaces all instances in turn: the new one starts before the old one leaves.
-    async fn replace(&mut self) {
+    async fn replace(&mut self, phase: Duration) {
+        let mut leaving_nodes = tokio::task::JoinSet::new();
         let names: Vec<_> = {
             let nodes = self.fleet.nodes.lock();
             nodes.iter().map(|placed| (placed.name.clone(), placed.data_centre)).collect()
         };
+        let pause = phase / (names.len() as u32 + 1);
         for (name, data_centre) in names {
             let successor = format!("{name}-b");
             self.fleet.add_node(&successor, data_centre).await;
@@ -190,9 +192,16 @@
                 let place = nodes.iter().position(|placed| placed.name == name);
                 nodes.remove(place.expect("instance runs"))
             };
-            leaving.served.shut_down().await;
-            self.fleet.platform.list.remove(&name);
-            self.log.replaced += 1;
+            let fleet = Arc::clone(&self.fleet);
+            leaving_nodes.spawn(async move {
+                leaving.served.shut_down().await;
+                fleet.platform.list.remove(&name);
+            });
+            // The next one leaves while this one still serves its last callers.
+            tokio::time::sleep(pause).await;
+        }
+        while let Some(left) = leaving_nodes.join_next().await {
+            self.log.replaced += usize::from(left.is_ok());
         }
     }
 }
--- a/examples/measure_world/report.rs
+++ b/examples/measure_world/report.rs
@@ -179,9 +179,13 @@
             .collect();
         println!("{:16}{cells}", phase.name());
     }
-    println!("\nrequests of yuccareel that were not answered");
+    println!("\nrequests of yuccareel that were not answered, by phase");
+    let mut causes: BTreeMap<&str, Vec<String>> = BTreeMap::new();
     for ((phase, cause), count) in &ways[0].failures {
-        println!("{:16}{count:>6}  {cause}", phase.name());
+        causes.entry(cause).or_default().push(format!("{} {count}", phase.name()));
+    }
+    for (cause, counts) in causes {
+        println!("{cause:40}{}", counts.join(", "));
     }
 }
 
