--- a/src/standins/engine.rs
+++ b/src/standins/engine.rs
@@ -51,7 +51,7 @@
     pub cross_next: u32,
     /// Requests to come that go silent in the middle.
     pub stall_next: u32,
-    /// Every request fails with an error.
+    /// Every admitted request fails with an error.
     pub errors: bool,
     /// Every answer is poor.
     pub poor: bool,
@@ -164,10 +164,6 @@
             refuse(response, StatusCode::BAD_REQUEST, true);
             return;
         };
-        if self.faults.lock().errors {
-            refuse(response, StatusCode::INTERNAL_SERVER_ERROR, false);
-            return;
-        }
         let Some(slot) = self.admit() else {
             let cold = self.cold();
             self.refused.lock().push(RefusedRequest {
@@ -189,6 +185,10 @@
             resume_offset: resume,
             admitted_at: tokio::time::Instant::now(),
         });
+        if self.faults.lock().errors {
+            refuse(response, StatusCode::INTERNAL_SERVER_ERROR, false);
+            return;
+        }
         let fault = self.take_fault();
         if fault == Some(StreamFault::Silent) {
             std::future::pending::<()>().await;
