--- a/tests/fault_world/platform_world.rs
+++ b/tests/fault_world/platform_world.rs
@@ -45,6 +45,8 @@
     pub http: reqwest::Client,
     pub seen: Mutex<CellObservations>,
     pub serial: AtomicU64,
+    /// Held during a request of a session of the background load.
+    pub session_turn: tokio::sync::Mutex<()>,
 }
 
 /// Waits until a condition holds; false when it does not within `PATIENCE`.
@@ -88,6 +90,7 @@
             http: reqwest::Client::new(),
             seen: Mutex::default(),
             serial: AtomicU64::new(1),
+            session_turn: tokio::sync::Mutex::default(),
         });
         world.seen.lock().allowed = vec![
             (ACME.to_owned(), vec!["v1".to_owned(), "v2".to_owned()]),
