--- a/tests/fault_world/faults.rs
+++ b/tests/fault_world/faults.rs
@@ -169,7 +169,7 @@
                 world.set_drained("dc-b", false).await;
             }
             Self::RatingGone => world.rating.faults.lock().outage = false,
-            Self::ColdBurst => world.send_burst().await,
+            Self::ColdBurst => world.send_burst(BURST, 20).await,
             Self::ColdAgain
             | Self::LeasesLapsed
             | Self::OperatorsRace
@@ -188,16 +188,16 @@
         }
     }
 
-    /// Sends more requests at once than the cold engines bear.
-    async fn send_burst(self: &Arc<Self>) {
+    /// Sends requests to all instances at once, for each version in turn.
+    pub async fn send_burst(self: &Arc<Self>, requests: usize, tokens: u64) {
         let mut calls = tokio::task::JoinSet::new();
-        for turn in 0..BURST {
+        for turn in 0..requests {
             let world = Arc::clone(self);
             calls.spawn(async move {
                 let callable = world.callable();
                 let model = if turn % 2 == 0 { "small" } else { "small@v2" };
-                let spec = ChatSpec { model, ..ChatSpec::plain(20) };
-                world.chat(&callable[turn % callable.len()], spec).await
+                let spec = ChatSpec { model, ..ChatSpec::plain(tokens) };
+                world.chat(&callable[turn / 2 % callable.len()], spec).await
             });
         }
         calls.join_all().await;
