--- a/examples/measure_world/report.rs
+++ b/examples/measure_world/report.rs
@@ -164,6 +164,7 @@
         println!("{:16}{:>10.4}{times}{repeated:>18}", way.name, way.booking_success);
     }
     print_phases(ways);
+    print_models(&run.outcomes[0]);
     print_log(run);
     print_promises(promises);
 }
@@ -189,6 +190,22 @@
     }
 }
 
+/// Which models answered which kinds, before and after the surge.
+fn print_models(outcomes: &[Outcome]) {
+    println!("\nanswers of yuccareel by kind and model; cost in microcredits, p50 p95 p99 in ms");
+    let mut groups: BTreeMap<(&str, &str, &str), Vec<&Outcome>> = BTreeMap::new();
+    for outcome in outcomes.iter().filter(|outcome| outcome.answered()) {
+        let Some((model, _)) = &outcome.target else { continue };
+        let period = if outcome.phase == PhaseName::Quiet { "quiet" } else { "later" };
+        groups.entry((outcome.kind.name(), model, period)).or_default().push(outcome);
+    }
+    for ((kind, model, period), group) in groups {
+        let cost = group.iter().map(|outcome| outcome.cost).sum::<u64>() / group.len() as u64;
+        let times = TimeQuantiles::new(group.iter().map(|outcome| outcome.latency));
+        println!("{kind:10}{model:8}{period:8}{:>6}{cost:>8}{}", group.len(), times.text());
+    }
+}
+
 fn print_log(run: &RunResult) {
     println!("\nchanges, time until in effect on every instance");
     for (what, time) in &run.log.applied {
