Count a first token as slow from 100 ms only

A first token that took 4 times the learned time marked its replica cold. At a learned time of 6 ms, a delay of the scheduler of 25 ms was enough, and the replica fell to its cold concurrency of 2 for all instances, so that short answers waited for seconds. The new case of tests/cold_start.rs failed before and passes now.

--- a/src/cold_start.rs
+++ b/src/cold_start.rs
@@ -17,6 +17,9 @@
 pub const REPORT_LAG: Duration = Duration::from_secs(2);
 /// Ratio of a first token's time to the learned time above which the replica counts as cold.
 pub const SLOW_FACTOR: f64 = 4.0;
+/// Least time of a first token that counts as slow. Delays of the scheduler or the network
+/// reach several times a learned time of a few milliseconds without a cold engine.
+const SLOW_LEAST: Duration = Duration::from_millis(100);
 /// First tokens needed before the learned time is trusted.
 const LEARN_SAMPLES: u32 = 8;
 /// Weight of one sample in the learned time.
@@ -204,7 +207,8 @@
     /// A slow one is not learned, otherwise a cold replica would move its own threshold.
     pub fn record(&mut self, elapsed: Duration) -> bool {
         let elapsed_s = elapsed.as_secs_f64();
-        if self.samples >= LEARN_SAMPLES && elapsed_s > self.mean_s * SLOW_FACTOR {
+        let limit_s = (self.mean_s * SLOW_FACTOR).max(SLOW_LEAST.as_secs_f64());
+        if self.samples >= LEARN_SAMPLES && elapsed_s > limit_s {
             return true;
         }
         self.samples = self.samples.saturating_add(1);
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -89,6 +89,13 @@
             slow: false,
         },
         Case { name: "over 4 times", samples_ms: [vec![100; 8], vec![401]].concat(), slow: true },
+        // A delay of the scheduler alone reaches 4 times a few milliseconds.
+        Case {
+            name: "fast all the same",
+            samples_ms: [vec![6; 8], vec![100]].concat(),
+            slow: false,
+        },
+        Case { name: "over the least", samples_ms: [vec![6; 8], vec![101]].concat(), slow: true },
         Case {
             name: "slow ones are not learned",
             samples_ms: [vec![100; 8], vec![900; 50]].concat(),
