--- a/src/customer_limits.rs
+++ b/src/customer_limits.rs
@@ -22,6 +22,9 @@
 /// Spare requests per second, so that a few requests close together need not wait for the
 /// bucket to fill.
 const SPARE_RATE: f64 = 4.0;
+/// Factor on the wanted rate while a request awaits a larger share. A caller that waits sends
+/// nothing more, so its arrivals alone would let the share grow by `HEADROOM` a second.
+const WAITING_FACTOR: f64 = 4.0;
 /// Time after its last request for which a customer keeps spare shares, so that the next
 /// request needs no exchange first.
 const SPARE_TIME: Duration = Duration::from_secs(60);
@@ -53,6 +56,8 @@
     /// Estimate of the last request.
     estimate: ids::Microcredits,
     arrived_at: Option<Duration>,
+    /// Whether a request awaited a larger rate since the last statement of use.
+    awaits_rate: bool,
     day: u64,
 }
 
@@ -128,6 +133,7 @@
         };
         if let Some((kind, reason)) = refusal {
             if shares.granted_in_full(kind, &customer.name, now) {
+                row.awaits_rate |= kind == ResourceKind::CustomerRate;
                 return LimitOutcome::AwaitShare;
             }
             return LimitOutcome::Refused(reason);
@@ -153,6 +159,7 @@
         for (name, row) in &mut self.rows {
             row.turn(day, now);
             urgent |= row.state_use(name, shares, now);
+            row.awaits_rate = false;
         }
         urgent
     }
@@ -198,6 +205,7 @@
         let recent = self.arrived_at.is_some_and(|at| now.saturating_sub(at) < SPARE_TIME);
         let spare_rate = if recent { SPARE_RATE } else { 0.0 };
         let rate = (f64::from(arrivals) * HEADROOM + spare_rate) * REQUEST_TOKENS;
+        let rate = if self.awaits_rate { rate * WAITING_FACTOR } else { rate };
         let in_use = u64::from(self.in_flight);
         let concurrency = headroom(in_use + u64::from(self.refused)) + u64::from(recent);
         // Money for the arrivals of one second and a spare request.
--- a/tests/customer_limits.rs
+++ b/tests/customer_limits.rs
@@ -239,3 +239,38 @@
     let outcome = limits.admit(&record, 0, &shares, 2, 1, now + ms(1));
     assert_eq!(outcome, LimitOutcome::Admitted);
 }
+
+/// Guards against a rate that hardly grows, because a caller that awaits its share sends nothing.
+#[test]
+fn a_caller_in_a_loop_gets_a_growing_rate() {
+    let record = record();
+    let mut limits = CustomerLimitTable::default();
+    let mut shares = ShareTable::new("node".into(), 1);
+    let (mut answered, mut waiting) = (0, false);
+    for step in 0..1_000_u64 {
+        let now = ms(step * 5);
+        let admit = if waiting { CustomerLimitTable::readmit } else { CustomerLimitTable::admit };
+        match admit(&mut limits, &record, 0, &shares, 2, 1, now) {
+            LimitOutcome::Admitted => {
+                (answered, waiting) = (answered + 1, false);
+                limits.finish("c", 0, 0);
+            }
+            _ => waiting = true,
+        }
+        limits.state_use(&mut shares, 1, now);
+        for (home, request) in shares.requests(now, &["home".into()]) {
+            let grants = request.wants.iter().map(|want| ShareGrant {
+                resource: want.resource.clone(),
+                outcome: GrantOutcome::Leased {
+                    amount: want.wanted,
+                    quantity: 1_000_000,
+                    cold: false,
+                    epoch: 0,
+                },
+            });
+            let reply = ShareReply { number: request.number, grants: grants.collect() };
+            shares.apply(&home, &reply);
+        }
+    }
+    assert!(answered >= 500, "{answered} of 1,000 turns answered");
+}
