--- a/src/cold_start.rs
+++ b/src/cold_start.rs
@@ -17,6 +17,11 @@
 pub const REPORT_LAG: Duration = Duration::from_secs(2);
 /// Ratio of a first token's time to the learned time above which the replica counts as cold.
 pub const SLOW_FACTOR: f64 = 4.0;
+/// Time without a report after which answers alone warm a replica up.
+const REPORTS_MISSING: Duration = Duration::from_secs(5);
+/// Least time of a first token that counts as slow. Delays of the scheduler or the network
+/// reach several times a learned time of a few milliseconds without a cold engine.
+const SLOW_LEAST: Duration = Duration::from_millis(100);
 /// First tokens needed before the learned time is trusted.
 const LEARN_SAMPLES: u32 = 8;
 /// Weight of one sample in the learned time.
@@ -78,13 +83,22 @@
     boot: Option<ids::BootId>,
     former_boot: Option<ids::BootId>,
     cold_at: Option<Duration>,
+    reported_at: Option<Duration>,
 }
 
 impl WarmupState {
     /// State of a replica of which nothing is known.
     pub fn new(bounds: WarmupBounds) -> Self {
         let limit = bounds.cold;
-        Self { bounds, limit, answers: 0, boot: None, former_boot: None, cold_at: None }
+        Self {
+            bounds,
+            limit,
+            answers: 0,
+            boot: None,
+            former_boot: None,
+            cold_at: None,
+            reported_at: None,
+        }
     }
 
     /// Requests that the replica bears at once now.
@@ -130,7 +144,7 @@
     pub fn apply(&mut self, sign: WarmupSign, now: Duration) -> bool {
         match sign {
             WarmupSign::Answers(count) => {
-                self.count_answers(count);
+                self.count_answers(count, now);
                 false
             }
             WarmupSign::Boot(boot) => self.see_boot(boot, now),
@@ -141,7 +155,12 @@
         }
     }
 
-    fn count_answers(&mut self, count: u32) {
+    /// Answers raise the limit only while the replica sends no reports: one that reports says
+    /// itself when it is warm, and a limit raised before would exceed what it bears.
+    fn count_answers(&mut self, count: u32, now: Duration) {
+        if self.reported_at.is_some_and(|at| now < at + REPORTS_MISSING) {
+            return;
+        }
         self.answers = self.answers.saturating_add(count);
         while self.cold() && self.answers >= self.limit {
             self.answers -= self.limit;
@@ -168,6 +187,7 @@
     fn see_report(&mut self, boot: ids::BootId, cold: bool, now: Duration) -> bool {
         let turned = self.see_boot(boot.clone(), now);
         let current = self.boot.as_ref() == Some(&boot);
+        self.reported_at = Some(now);
         if current && cold && !self.cold() {
             return self.turn_cold(now);
         }
@@ -204,7 +224,8 @@
     /// A slow one is not learned, otherwise a cold replica would move its own threshold.
     pub fn record(&mut self, elapsed: Duration) -> bool {
         let elapsed_s = elapsed.as_secs_f64();
-        if self.samples >= LEARN_SAMPLES && elapsed_s > self.mean_s * SLOW_FACTOR {
+        let limit_s = (self.mean_s * SLOW_FACTOR).max(SLOW_LEAST.as_secs_f64());
+        if self.samples >= LEARN_SAMPLES && elapsed_s > limit_s {
             return true;
         }
         self.samples = self.samples.saturating_add(1);
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -55,8 +55,18 @@
         case(
             "cold report while warming up",
             vec![(0, boot_report("b1", true)), (1, Sign::Answers(2)), (2, boot_report("b1", true))],
+            2,
+        ),
+        case(
+            "answers without recent reports",
+            vec![(0, boot_report("b1", true)), (5_000, Sign::Answers(2))],
             4,
         ),
+        case(
+            "answers after recent reports",
+            vec![(0, boot_report("b1", true)), (4_999, Sign::Answers(2))],
+            2,
+        ),
     ];
     for case in cases {
         let mut state = WarmupState::new(WarmupBounds { cold: 2, warm: 20 });
@@ -83,6 +93,9 @@
         case("nothing learned", vec![100, 900], false),
         case("within 4 times", [vec![100; 8], vec![400]].concat(), false),
         case("over 4 times", [vec![100; 8], vec![401]].concat(), true),
+        // A delay of the scheduler alone reaches 4 times a few milliseconds.
+        case("fast all the same", [vec![6; 8], vec![100]].concat(), false),
+        case("over the least", [vec![6; 8], vec![101]].concat(), true),
         case("slow ones are not learned", [vec![100; 8], vec![900; 50]].concat(), true),
         case("gradual change is learned", [vec![100; 8], vec![300; 50], vec![900]].concat(), false),
     ];
