Let the first home decide between concurrent pins of a session

Change: a home keeps the first pin it accepted unless a later one has more moves; all nodes ask the homes in the same order and follow the first; requests of one session take turns until its pin is accepted. The property that merging is independent of the order was wrong for this promise; in its place stands that an accepted pin changes only by more moves.

--- a/src/node.rs
+++ b/src/node.rs
@@ -20,9 +20,9 @@
     bill_batch, bill_copies, bill_ledger, claim_store, config_log, config_snapshot, config_store,
     customer_limits, endpoint_answer, engine_client, error_body, event_catalogue, freshness, ids,
     instance_list, kv_store, member_row, member_table, node_bills, node_handler, node_quota,
-    node_replicas, node_rollout, node_view, peer_client, peer_handshake, peer_service, pool_queue,
-    prefix_index, quality_table, quota_home, quota_lease, rating_client, records, refusal_reason,
-    replica_subset, replica_table, retry_budget, session_table, token_index,
+    node_replicas, node_rollout, node_view, peer_client, peer_handshake, peer_service, pin_turns,
+    pool_queue, prefix_index, quality_table, quota_home, quota_lease, rating_client, records,
+    refusal_reason, replica_subset, replica_table, retry_budget, session_table, token_index,
 };
 
 /// Time between two looks at whether a shutdown is complete.
@@ -127,6 +127,8 @@
     pub queue_wake: Arc<Notify>,
     /// Versions of sessions.
     pub sessions: Mutex<session_table::SessionTable>,
+    /// Turns of requests that ask for a pin.
+    pub pin_turns: pin_turns::PinTurns,
     /// Pass rates.
     pub quality: Mutex<quality_table::QualityTable>,
     /// State of the rating service.
@@ -205,6 +207,7 @@
                 queues: Mutex::default(),
                 queue_wake: Arc::default(),
                 sessions: Mutex::default(),
+                pin_turns: pin_turns::PinTurns::default(),
                 quality: Mutex::default(),
                 rating_health: Mutex::default(),
                 prefixes: Mutex::default(),
--- a/src/node_versions.rs
+++ b/src/node_versions.rs
@@ -134,59 +134,76 @@
             session: session.clone(),
             model: model.clone(),
         };
+        // One request at a time asks for the pin of a session, so that none is served under a
+        // pin that its home has not accepted.
+        let _turn = self.pin_turns.turn(&key).await;
         let known = self.sessions.lock().get(&key, self.clock()).is_some();
         if !known {
             self.look_up_pin(&key).await;
         }
-        let mut found = {
+        let resolve = || {
             let mut sessions = self.sessions.lock();
-            sessions.resolve(&key, preferred, &job.customer, snapshot, self.clock())?
+            sessions.resolve(&key, preferred, &job.customer, snapshot, self.clock())
         };
-        if found.changed {
-            let held = self.keep_pin(&key, &found.pin).await;
-            // Another node may have pinned the session first; its pin goes before this one.
-            if held != found.pin {
-                let mut sessions = self.sessions.lock();
-                sessions.merge(key.clone(), held, self.clock());
-                found = sessions.resolve(&key, preferred, &job.customer, snapshot, self.clock())?;
-            }
+        let found = resolve()?;
+        if !found.changed {
+            return Some(found);
+        }
+        let held = self.keep_pin(&key, &found.pin).await;
+        // Another node may have pinned the session first; its pin goes before this one.
+        if held == found.pin {
+            return Some(found);
         }
-        Some(found)
+        self.sessions.lock().adopt(key.clone(), held, self.clock());
+        resolve()
     }
 
     async fn look_up_pin(&self, key: &session_table::SessionModel) {
-        for peer in self.pin_homes(key) {
+        for home in self.pin_homes(key) {
+            let Some(peer) = self.pin_peer(&home) else { continue };
             let found = self.peers.look_up_session(peer, PIN_LIMIT, key).await;
             if let Ok(Some(pin)) = found {
-                self.sessions.lock().merge(key.clone(), pin, self.clock());
+                self.sessions.lock().adopt(key.clone(), pin, self.clock());
                 return;
             }
         }
     }
 
-    /// Stores a pin at its homes; returns the pin in effect there.
+    /// Stores a pin at its homes; returns the pin that the first home of the session holds.
+    ///
+    /// All nodes ask the homes in the same order, so that the first one decides between
+    /// concurrent pins; the second one only keeps a copy.
     async fn keep_pin(
         &self,
         key: &session_table::SessionModel,
         pin: &session_table::SessionPin,
     ) -> session_table::SessionPin {
-        let mut held = pin.clone();
-        for peer in self.pin_homes(key) {
-            let request = peer_message::PinRequest { key: key.clone(), pin: held.clone() };
-            if let Ok(found) = self.peers.pin_session(peer, PIN_LIMIT, &request).await {
-                held = found;
-            }
+        let mut held: Option<session_table::SessionPin> = None;
+        for home in self.pin_homes(key) {
+            let pin = held.clone().unwrap_or_else(|| pin.clone());
+            let answer = match self.pin_peer(&home) {
+                None => Some(self.sessions.lock().accept(key.clone(), pin, self.clock())),
+                Some(peer) => {
+                    let request = peer_message::PinRequest { key: key.clone(), pin };
+                    self.peers.pin_session(peer, PIN_LIMIT, &request).await.ok()
+                }
+            };
+            held = held.or(answer);
         }
-        held
+        held.unwrap_or_else(|| pin.clone())
     }
 
-    /// Addresses of a pin's homes other than this node.
-    fn pin_homes(&self, key: &session_table::SessionModel) -> Vec<std::net::SocketAddr> {
+    /// Homes of a pin, the deciding one first.
+    fn pin_homes(&self, key: &session_table::SessionModel) -> Vec<ids::InstanceName> {
         let view = self.view.load();
         let name = format!("{}/{}/{}", key.customer, key.session, key.model);
         let homes = rendezvous::highest(&name, &view.members, PIN_HOMES);
-        let others = homes.into_iter().filter(|home| **home != self.options.name);
-        others.filter_map(|home| self.peer_address(home)).collect()
+        homes.into_iter().cloned().collect()
+    }
+
+    /// Address of a home; none for this node.
+    fn pin_peer(&self, home: &ids::InstanceName) -> Option<std::net::SocketAddr> {
+        (*home != self.options.name).then(|| self.peer_address(home)).flatten()
     }
 }
 
--- a/src/session_table.rs
+++ b/src/session_table.rs
@@ -137,19 +137,24 @@
         Some(SessionVersion { pin, changed: true, repinned: reason })
     }
 
-    /// Takes a pin of another node and returns the pin that holds now.
+    /// Takes a pin as home of its session and returns the pin that holds.
     ///
-    /// More moves win; between equal ones the lesser version name does, on every node alike.
-    pub fn merge(&mut self, key: SessionModel, pin: SessionPin, now: Duration) -> SessionPin {
-        let order = |pin: &SessionPin| (std::cmp::Reverse(pin.moves), pin.version.clone());
+    /// The first pin holds, because an answer may already have been served under it. Only a
+    /// session that moved off its version brings a pin with more moves, which replaces it.
+    pub fn accept(&mut self, key: SessionModel, pin: SessionPin, now: Duration) -> SessionPin {
         let held = match self.get(&key, now) {
-            Some(known) if order(known) <= order(&pin) => known.clone(),
+            Some(known) if known.moves >= pin.moves => known.clone(),
             _ => pin,
         };
         self.put(key, held.clone(), now);
         held
     }
 
+    /// Takes over the pin that a home of the session holds.
+    pub fn adopt(&mut self, key: SessionModel, pin: SessionPin, now: Duration) {
+        self.put(key, pin, now);
+    }
+
     /// Drops idle pins.
     pub fn expire(&mut self, now: Duration) {
         while let Some((&number, key)) = self.uses.first_key_value() {
