Let streamed batch requests go through the cascade

Change: a streamed batch request, for whose first token nobody waits, is answered whole by the cascade and then sent as an event stream.

--- a/examples/measure_world/caller.rs
+++ b/examples/measure_world/caller.rs
@@ -189,6 +189,9 @@
         if let Some(session) = &planned.session {
             request = request.header("x-yuccareel-session", session);
         }
+        if self.fleet.shape.overnight_reports && planned.kind.streamed() {
+            request = request.header("x-yuccareel-priority", "batch");
+        }
         request
     }
 
--- a/examples/measure_world/shape.rs
+++ b/examples/measure_world/shape.rs
@@ -76,6 +76,8 @@
     pub warm: u32,
     /// Kinds with their share of the requests in percent.
     pub kinds: &'static [(RequestKind, u32)],
+    /// Whether reports are drafted overnight, when nobody waits for them.
+    pub overnight_reports: bool,
 }
 
 const fn model(
@@ -111,6 +113,7 @@
         (RequestKind::Check, 8),
         (RequestKind::Booking, 10),
     ],
+    overnight_reports: false,
 };
 
 /// Rungwell Orchard Ladders Ltd.
@@ -135,6 +138,7 @@
         (RequestKind::Check, 20),
         (RequestKind::Booking, 20),
     ],
+    overnight_reports: true,
 };
 
 impl RequestKind {
--- a/examples/overhead.rs
+++ b/examples/overhead.rs
@@ -48,6 +48,7 @@
     service_replicas: 1,
     warm: 4_096,
     kinds: &[],
+    overnight_reports: false,
 };
 
 const CASES: [LoadCase; 7] = [
--- a/src/chat_flow.rs
+++ b/src/chat_flow.rs
@@ -59,7 +59,7 @@
     let estimate = steps.iter().map(|step| step.cost).max().unwrap_or(0);
     let mut admission = node.admit(&job.customer, estimate).await?;
     let run = CascadeRun::new(node, &job, steps);
-    if job.request.stream {
+    if job.request.delivers_at_once() {
         return run.start_stream(admission).await.map(ChatAnswer::Streamed);
     }
     let answer = run.answer_whole().await?;
@@ -83,7 +83,7 @@
         job: &'a Arc<chat_job::ChatJob>,
         steps: node_versions::JobSteps,
     ) -> Self {
-        let rating = node.rating_use(job.request.stream);
+        let rating = node.rating_use(job.request.delivers_at_once());
         let mut run = Self { node, job, steps, plan: cascade_policy::fixed_plan([0]), rating };
         let table = node.quality.lock();
         let chosen = cascade_policy::choose_plan(&table, &run.policy(), &mut rand::rng());
--- a/src/chat_request.rs
+++ b/src/chat_request.rs
@@ -98,6 +98,14 @@
         })
     }
 
+    /// Whether tokens leave for the caller as they arrive.
+    ///
+    /// A streamed batch request waits for its whole answer instead, so that a cheap answer can
+    /// be rated before it is delivered: nobody waits for its first token.
+    pub fn delivers_at_once(&self) -> bool {
+        self.stream && self.priority == engine_client::EnginePriority::Interactive
+    }
+
     /// Body for an engine: the caller's fields with model, version and streaming set.
     pub fn engine_body(&self, model: &str, version: &str) -> Bytes {
         let mut fields = self.fields.clone();
--- a/src/chat_stream.rs
+++ b/src/chat_stream.rs
@@ -11,6 +11,9 @@
     node_rating, node_rollout, quality_table,
 };
 
+/// End marker of an event stream.
+const END_EVENT: &[u8] = b"data: [DONE]\n\n";
+
 /// Parts of a streamed answer.
 pub struct StreamParts {
     /// Request.
@@ -77,7 +80,7 @@
             StreamState::Closed => return None,
             StreamState::Done => {
                 self.state = StreamState::Closed;
-                return Some(Bytes::from_static(b"data: [DONE]\n\n"));
+                return Some(Bytes::from_static(END_EVENT));
             }
             StreamState::Running => {}
         }
@@ -124,21 +127,7 @@
             prompt: self.job.request.prompt.clone(),
             answer: std::mem::take(&mut self.text),
         });
-        let id = format!("{:032x}", self.job.id);
-        let body = json!({
-            "id": id,
-            "object": "chat.completion.chunk",
-            "created": node::unix_seconds(),
-            "model": &*target.model.name,
-            "choices": [{ "index": 0, "delta": {}, "finish_reason": reason }],
-            "usage": usage_body(usage),
-            "yuccareel": {
-                "request_id": id,
-                "version": &*target.version,
-                "cost_microcredits": cost,
-            },
-        });
-        event(body.to_string().as_bytes())
+        last_event(self.job.id, &target, usage, reason, cost)
     }
 
     /// Bills the tokens that were made when the answer ends early.
@@ -171,6 +160,24 @@
 }
 
 impl chat_flow::WholeAnswer {
+    /// Whole answer as an event stream, for a streamed request that was answered whole.
+    pub fn events(&self) -> Bytes {
+        let body = json!({
+            "id": format!("{:032x}", self.id),
+            "object": "chat.completion.chunk",
+            "created": node::unix_seconds(),
+            "model": &*self.target.model.name,
+            "choices": [{
+                "index": 0,
+                "delta": { "role": "assistant", "content": self.text },
+                "finish_reason": null,
+            }],
+        });
+        let first = event(body.to_string().as_bytes());
+        let last = last_event(self.id, &self.target, self.usage, &self.finish_reason, self.cost);
+        [&first[..], &last[..], END_EVENT].concat().into()
+    }
+
     /// Body as chat clients read it.
     pub fn body(&self) -> serde_json::Value {
         json!({
@@ -188,6 +195,31 @@
     }
 }
 
+/// Last event of a stream before its end marker.
+fn last_event(
+    id: ids::RequestId,
+    target: &chat_job::VersionTarget,
+    usage: engine_client::TokenUsage,
+    reason: &str,
+    cost: ids::Microcredits,
+) -> Bytes {
+    let id = format!("{id:032x}");
+    let body = json!({
+        "id": id,
+        "object": "chat.completion.chunk",
+        "created": node::unix_seconds(),
+        "model": &*target.model.name,
+        "choices": [{ "index": 0, "delta": {}, "finish_reason": reason }],
+        "usage": usage_body(usage),
+        "yuccareel": {
+            "request_id": id,
+            "version": &*target.version,
+            "cost_microcredits": cost,
+        },
+    });
+    event(body.to_string().as_bytes())
+}
+
 fn usage_body(usage: engine_client::TokenUsage) -> serde_json::Value {
     json!({
         "prompt_tokens": usage.prompt_tokens,
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -118,12 +118,18 @@
         };
         let time = self.node.options.request_timeout;
         let parsed = chat_request::ChatRequest::parse(&body, headers, time)?;
+        let stream = parsed.stream;
         let job = chat_flow::new_job(id, customer, parsed);
         match chat_flow::answer(&self.node, job).await? {
             chat_flow::ChatAnswer::Whole(answer) => {
                 set_target(response, &answer.target);
                 set_header(response, "x-yuccareel-cost-microcredits", &answer.cost.to_string());
-                response.render(salvo::writing::Json(answer.body()));
+                if stream {
+                    set_header(response, "content-type", "text/event-stream");
+                    response.body(answer.events());
+                } else {
+                    response.render(salvo::writing::Json(answer.body()));
+                }
             }
             chat_flow::ChatAnswer::Streamed(answer) => {
                 set_target(response, answer.target());
