Apply changed weights to queues; drop rows of replicas that are gone

Cause: `AdmissionQueue::set_weights` and `QuotaHome::retain_known` stood tested and were never called: a queue kept the weights of the time when it was made, and rows of replaced replicas and removed customers stayed for ever. Change: weights follow each configuration; each second the rows of replicas and customers that are gone are dropped.

--- a/src/node_config.rs
+++ b/src/node_config.rs
@@ -158,6 +158,7 @@
         self.derive_routes(self.replicas.load_full());
         drop(update);
         self.rebuild_endpoints(&self.view.load());
+        self.update_weights();
         self.emit(LogEvent::ConfigInEffect, slog::o!("sequence" => sequence));
         self.queue_wake.notify_one();
     }
--- a/src/node_dispatch.rs
+++ b/src/node_dispatch.rs
@@ -248,6 +248,14 @@
         }
     }
 
+    /// Takes the customers' weights of the configuration in effect over into all queues.
+    pub fn update_weights(&self) {
+        let weights = pool_queue::weights(&self.snapshot.load());
+        for queue in self.queues.lock().values_mut() {
+            queue.set_weights(weights.clone());
+        }
+    }
+
     /// Waiting requests of all pools that were ever used.
     pub fn waiting_by_pool(&self) -> Vec<(replica_table::ReplicaPool, u64)> {
         let queues = self.queues.lock();
--- a/src/node_replicas.rs
+++ b/src/node_replicas.rs
@@ -51,11 +51,26 @@
         loop {
             tokio::select! {
                 () = self.stopped.cancelled() => return,
-                _ = ticks.tick() => self.read_reports().await,
+                _ = ticks.tick() => {
+                    self.forget_gone();
+                    self.read_reports().await;
+                }
             }
         }
     }
 
+    /// Drops what is kept for replicas and customers that are gone; thousands of instances are
+    /// replaced in a day.
+    fn forget_gone(&self) {
+        let (snapshot, table) = (self.snapshot.load(), self.replicas.load());
+        let tables = quota_home::QuotaTables { snapshot: &snapshot, table: &table };
+        self.home.lock().retain_known(tables);
+        let replica = |name: &str| table.find(name).is_some();
+        let customer = |name: &str| snapshot.customers.contains_key(name);
+        self.retries.lock().retain(customer, replica);
+        self.learned.lock().retain(|name, _| replica(name));
+    }
+
     async fn read_reports(&self) {
         let read = self.reported_replicas();
         let engine = &self.engine;
