Give each test platform a peer secret of its own

Cells run side by side and bind free ports; a new cell can bind the port that a stopped instance of another cell had, whose members still dial it. All cells shared one peer secret, so the new instance took the other cell's configuration, and its own store, at sequence 0, then refused every change as behind. Ruled out: a slow machine (five runs on 2 and on 4 cores passed) and a conflict with an own earlier attempt (a repeated apply with the same id is recognised).

--- a/src/standins/platform.rs
+++ b/src/standins/platform.rs
@@ -34,6 +34,9 @@
 
 /// Platform stand-ins of one test or example.
 pub struct PlatformStandin {
+    /// Peer secret of the instances on this platform. Platforms side by side take over each
+    /// other's freed ports; with one secret for all, instances took foreign configuration.
+    pub peer_secret: [u8; 16],
     /// Key-value service.
     pub kv: kv::KvStandin,
     /// Address of the key-value service.
@@ -56,6 +59,7 @@
         let (kv_address, kv_task) = server::serve(kv_http::router(kv.clone())).await;
         let (list_address, list_task) = server::serve(list.router()).await;
         Self {
+            peer_secret: rand::random(),
             kv,
             kv_address,
             list,
--- a/tests/fault_world/platform_world.rs
+++ b/tests/fault_world/platform_world.rs
@@ -233,7 +233,7 @@
             instance_list_url: format!("http://{}", self.platform.list_address),
             rating_url: Some(format!("http://{}", self.rating_address)),
             weight_store_url: None,
-            peer_secret: settings::PeerSecret::new(b"a secret of the tests only"),
+            peer_secret: settings::PeerSecret::new(&self.platform.peer_secret),
             operator_token_sha256: token_index::token_digest(OPERATOR),
             limits: settings::RequestLimits {
                 body_bytes: 64 << 10,
--- a/tests/whole_path/mod.rs
+++ b/tests/whole_path/mod.rs
@@ -135,7 +135,7 @@
         instance_list_url: format!("http://{}", platform.list_address),
         rating_url: None,
         weight_store_url: None,
-        peer_secret: settings::PeerSecret::new(b"a secret of the tests only"),
+        peer_secret: settings::PeerSecret::new(&platform.peer_secret),
         operator_token_sha256: digest,
         limits: settings::RequestLimits {
             body_bytes: 64 << 10,
