Replace silent connections at once; prove it in the fault matrix

Cause: connections that go silent for good were stood in for by single silent requests. With links whose open connections all go silent (new test), a pool handed out its silent connections one after another, each until its timeout of 2 s; a booking whose claim went over a silent peer connection waited 5 s although its deadline was 1 s; a configuration watch on a silent connection never delivered again (the confirmation of each second stood in for it). A call to the key-value service or the list without an answer replaces the whole pool; a claim uses at most half of the time left for one try; a watch is opened anew after 10 s without an event. The relay of the peer contract is replaced by the link stand-in.

--- a/src/instance_list.rs
+++ b/src/instance_list.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids;
+use crate::{ids, renewable_client};
 
 /// Time for one read of the list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
@@ -69,13 +69,14 @@
 /// Client of the instance list.
 #[derive(Clone, Debug)]
 pub struct ListClient {
-    http: reqwest::Client,
+    http: renewable_client::RenewableClient,
     base_url: String,
 }
 
 impl ListClient {
     /// Client for a base URL.
     pub fn new(http: reqwest::Client, base_url: impl Into<String>) -> Self {
+        let http = renewable_client::RenewableClient::new(http);
         Self { http, base_url: base_url.into() }
     }
 
@@ -85,7 +86,10 @@
     /// When the service cannot be reached, is slower than 2 s or answers with anything but a list.
     pub async fn read(&self) -> Result<Vec<ListedInstance>, ListError> {
         let url = format!("{}/instances", self.base_url);
-        let reply = self.http.get(url).timeout(LIST_TIMEOUT).send().await?;
-        Ok(reply.error_for_status()?.json().await?)
+        let call = self.http.start_call();
+        let reply = call.http().get(url).timeout(LIST_TIMEOUT).send().await?;
+        let entries = reply.error_for_status()?.json().await?;
+        call.answered();
+        Ok(entries)
     }
 }
--- a/src/kv_client.rs
+++ b/src/kv_client.rs
@@ -15,7 +15,7 @@
 use tokio_util::codec::{FramedRead, LinesCodec};
 use tokio_util::io::StreamReader;
 
-use crate::{ids, kv_store};
+use crate::{ids, kv_store, renewable_client};
 
 /// Time for one call; a slow service counts as one that does not answer.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -25,7 +25,7 @@
 /// Client of the key-value service.
 #[derive(Clone, Debug)]
 pub struct HttpKvStore {
-    http: reqwest::Client,
+    http: renewable_client::RenewableClient,
     base_url: String,
     timeout: Duration,
 }
@@ -33,12 +33,14 @@
 impl HttpKvStore {
     /// Client for a base URL.
     pub fn new(http: reqwest::Client, base_url: impl Into<String>) -> Self {
+        let http = renewable_client::RenewableClient::new(http);
         Self { http, base_url: base_url.into(), timeout: CALL_TIMEOUT }
     }
 
     async fn call(&self, path: &str, body: Value) -> Result<Value, kv_store::KvError> {
         let url = format!("{}/v3/{path}", self.base_url);
-        let request = self.http.post(url).timeout(self.timeout).json(&body);
+        let call = self.http.start_call();
+        let request = call.http().post(url).timeout(self.timeout).json(&body);
         let reply = request.send().await.map_err(send_error)?;
         let status = reply.status();
         if status.is_client_error() || status == reqwest::StatusCode::SERVICE_UNAVAILABLE {
@@ -48,6 +50,7 @@
             return Err(kv_store::KvError::NoAnswer(status.to_string()));
         }
         let bytes = reply.bytes().await.map_err(send_error)?;
+        call.answered();
         serde_json::from_slice(&bytes)
             .map_err(|error| kv_store::KvError::Unreadable(error.to_string()))
     }
@@ -141,13 +144,15 @@
                 "start_revision": (after + 1).to_string(),
             }});
             let url = format!("{}/v3/watch", self.base_url);
-            let sent = tokio::time::timeout(self.timeout, self.http.post(url).json(&body).send());
+            let call = self.http.start_call();
+            let sent = tokio::time::timeout(self.timeout, call.http().post(url).json(&body).send());
             let reply = sent
                 .await
                 .map_err(|elapsed| kv_store::KvError::NoAnswer(elapsed.to_string()))?
                 .map_err(send_error)?
                 .error_for_status()
                 .map_err(|error| kv_store::KvError::Refused(error.to_string()))?;
+            call.answered();
             let reader = StreamReader::new(reply.bytes_stream().map_err(std::io::Error::other));
             let lines = FramedRead::new(reader, LinesCodec::new_with_max_length(WATCH_LINE_BYTES));
             let events = lines.flat_map(|line| {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -106,6 +106,7 @@
 pub mod records;
 pub mod refusal_reason;
 pub mod rendezvous;
+pub mod renewable_client;
 pub mod replica_subset;
 pub mod replica_table;
 pub mod retry_budget;
--- a/src/node_claims.rs
+++ b/src/node_claims.rs
@@ -13,9 +13,9 @@
 
 /// Time for which a claim at this node waits for the end of another request under its key
 /// before it answers `Running`, so that a peer's call does not time out.
-const RUNNING_WAIT: Duration = Duration::from_secs(1);
-/// Time for one claim at a peer: a group commit at a slow key-value service and the wait.
-const CLAIM_LIMIT: Duration = Duration::from_secs(5);
+const RUNNING_WAIT: Duration = Duration::from_millis(250);
+/// Shortest time for one claim at a peer: a group commit or the wait for another request.
+const CLAIM_LIMIT_MIN: Duration = Duration::from_millis(500);
 /// Time between two tries to claim.
 const CLAIM_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a claim is tried while the shard has no owner.
@@ -74,7 +74,10 @@
     ) -> Result<CallClaim, error_body::RequestRefusal> {
         let give_up = deadline.min(Instant::now() + CLAIM_TIME);
         loop {
-            let reply = self.claim_at_owner(request).await;
+            // Half of what is left, so that a claim that meets a silent connection is repeated
+            // over a new one. The owner grants a repeated claim again.
+            let left = give_up.saturating_duration_since(Instant::now());
+            let reply = self.claim_at_owner(request, CLAIM_LIMIT_MIN.max(left / 2)).await;
             let unavailable = match reply {
                 peer_message::ClaimReply::Granted => return Ok(CallClaim::Send),
                 peer_message::ClaimReply::Finished(answer) => return Ok(CallClaim::Replay(answer)),
@@ -112,9 +115,10 @@
     async fn claim_at_owner(
         &self,
         request: &claim_record::ClaimRequest,
+        limit: Duration,
     ) -> peer_message::ClaimReply {
         match self.decide_claim(request.clone()).await {
-            Err(Some(owner)) => self.claim_at_peer(&owner, request).await,
+            Err(Some(owner)) => self.claim_at_peer(&owner, request, limit).await,
             Err(None) => peer_message::ClaimReply::NotOwner,
             Ok(reply) => reply,
         }
@@ -124,6 +128,7 @@
         &self,
         owner: &ids::InstanceName,
         request: &claim_record::ClaimRequest,
+        limit: Duration,
     ) -> peer_message::ClaimReply {
         let Some(peer) = self.peer_address(bill_batch::instance_name(owner)) else {
             return peer_message::ClaimReply::NotOwner;
@@ -136,7 +141,7 @@
         };
         // A claim that was granted in an answer that got lost is granted again under the same
         // request id.
-        let reply = self.peers.claim(peer, CLAIM_LIMIT, &asked).await;
+        let reply = self.peers.claim(peer, limit, &asked).await;
         reply.unwrap_or_else(|error| peer_message::ClaimReply::Unavailable(error.to_string()))
     }
 
--- a/src/node_config.rs
+++ b/src/node_config.rs
@@ -5,6 +5,7 @@
 
 use futures::StreamExt as _;
 use rand::RngExt as _;
+use tokio::time;
 
 use crate::event_catalogue::LogEvent;
 use crate::{
@@ -14,6 +15,8 @@
 
 /// Time between two confirmations of the head by a watcher.
 const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without an event after which a watch is opened anew; its connection may be silent.
+const WATCH_LIFE: Duration = Duration::from_secs(10);
 /// Seconds between two reads of an unconfirmed node that is no watcher, on average.
 const UNCONFIRMED_TURNS: u32 = 5;
 /// Time for one call that spreads configuration.
@@ -66,7 +69,7 @@
                 && let Ok(revision) = self.confirm().await
                 && let Ok(mut heads) = self.config.watch_head(revision).await
             {
-                while let Some(Ok(_)) = heads.next().await {
+                while let Ok(Some(Ok(_))) = time::timeout(WATCH_LIFE, heads.next()).await {
                     // A failure is made up for by the next confirmation.
                     let _ = self.confirm().await;
                     if !self.watches() {
--- a/src/standins/mod.rs
+++ b/src/standins/mod.rs
@@ -7,6 +7,7 @@
 pub mod kv;
 pub mod kv_http;
 pub mod kv_table;
+pub mod link;
 pub mod list;
 pub mod platform;
 pub mod rating;
--- a/src/standins/platform.rs
+++ b/src/standins/platform.rs
@@ -3,9 +3,10 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
+use salvo::prelude::Router;
 use tokio::task::JoinHandle;
 
-use crate::standins::{engine, kv, kv_http, list, server, service};
+use crate::standins::{engine, kv, kv_http, link, list, server, service};
 use crate::{ids, instance_list};
 
 /// Engine with the place where it runs.
@@ -49,25 +50,54 @@
     pub engines: Vec<PlacedEngine>,
     /// Plain services.
     pub services: Vec<PlacedService>,
+    links: Option<Vec<link::LinkStandin>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
 impl PlatformStandin {
-    /// Platform without backend servers.
+    /// Platform without backend servers, reached directly.
     pub async fn start() -> Self {
+        Self::serving(None).await
+    }
+
+    /// Platform without backend servers, reached through links that can go silent.
+    pub async fn start_linked() -> Self {
+        Self::serving(Some(Vec::new())).await
+    }
+
+    async fn serving(links: Option<Vec<link::LinkStandin>>) -> Self {
         let (kv, list) = (kv::KvStandin::default(), list::ListStandin::default());
-        let (kv_address, kv_task) = server::serve(kv_http::router(kv.clone())).await;
-        let (list_address, list_task) = server::serve(list.router()).await;
-        Self {
+        let mut platform = Self {
             peer_secret: rand::random(),
-            kv,
-            kv_address,
-            list,
-            list_address,
+            kv_address: loopback(),
+            list_address: loopback(),
             engines: Vec::new(),
             services: Vec::new(),
-            tasks: vec![kv_task, list_task],
-        }
+            links,
+            tasks: Vec::new(),
+            kv: kv.clone(),
+            list: list.clone(),
+        };
+        platform.kv_address = platform.serve(kv_http::router(kv)).await;
+        platform.list_address = platform.serve(list.router()).await;
+        platform
+    }
+
+    /// Serves a router; returns the address at which instances reach it.
+    async fn serve(&mut self, router: Router) -> SocketAddr {
+        let (address, task) = server::serve(router).await;
+        self.tasks.push(task);
+        let Some(links) = &mut self.links else { return address };
+        let link = link::LinkStandin::bind().await;
+        link.connect_to(address);
+        let address = link.address;
+        links.push(link);
+        address
+    }
+
+    /// Silences the open connections of all links for good; new ones work.
+    pub fn silence_connections(&self) {
+        self.links.iter().flatten().for_each(link::LinkStandin::silence_open);
     }
 
     /// Starts an engine and lists it.
@@ -79,8 +109,7 @@
         checks_fencing: bool,
     ) -> engine::EngineStandin {
         let engine = engine::EngineStandin::new(options, warm);
-        let (address, task) = server::serve(engine.router()).await;
-        self.tasks.push(task);
+        let address = self.serve(engine.router()).await;
         self.list_instance(
             &engine.options.name,
             address,
@@ -104,8 +133,7 @@
         name: &str,
         service: service::ServiceStandin,
     ) {
-        let (address, task) = server::serve(service.router()).await;
-        self.tasks.push(task);
+        let address = self.serve(service.router()).await;
         let role = instance_list::InstanceRole::Service { service: service_name.into() };
         self.list_instance(name, address, data_centre, role);
         let (name, data_centre) = (name.to_owned(), data_centre.into());
--- a/tests/fault_world/faults.rs
+++ b/tests/fault_world/faults.rs
@@ -26,7 +26,9 @@
     KvResponseLost,
     LeasesLapsed,
     OperatorsRace,
-    ConnectionSilent,
+    AnswersSilent,
+    /// All connections that are open; new ones work.
+    ConnectionsSilent,
     InstanceKilled,
     ListLagging,
     BackendLeaving,
@@ -36,7 +38,7 @@
 
 impl Fault {
     /// Faults of the matrix.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::VersionBad,
         Self::PoolExhausted,
         Self::ColdAgain,
@@ -45,7 +47,8 @@
         Self::KvResponseLost,
         Self::LeasesLapsed,
         Self::OperatorsRace,
-        Self::ConnectionSilent,
+        Self::AnswersSilent,
+        Self::ConnectionsSilent,
         Self::InstanceKilled,
         Self::ListLagging,
         Self::BackendLeaving,
@@ -106,7 +109,7 @@
                 let change = |weight| vec![customer_record(ACME, &["v1", "v2"], weight)];
                 tokio::join!(world.apply(0, change(2)), world.apply(1, change(3)));
             }
-            Self::ConnectionSilent => {
+            Self::AnswersSilent => {
                 for placed in engines {
                     let mut faults = placed.engine.faults.lock();
                     (faults.silent_next, faults.stall_next) = (1, 1);
@@ -115,6 +118,7 @@
                     placed.service.faults.lock().lose_answers = 1;
                 }
             }
+            Self::ConnectionsSilent => world.silence_connections(),
             Self::InstanceKilled => {
                 let instance = world.instance(1);
                 *instance.callable.lock() = false;
@@ -173,7 +177,8 @@
             Self::ColdAgain
             | Self::LeasesLapsed
             | Self::OperatorsRace
-            | Self::ConnectionSilent
+            | Self::AnswersSilent
+            | Self::ConnectionsSilent
             | Self::BackendLeaving => {}
         }
     }
--- a/tests/fault_world/platform_world.rs
+++ b/tests/fault_world/platform_world.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 use yuccareel::records::{RoutingRecord, customer, data_centre, model, rollout, service};
-use yuccareel::standins::{engine, platform, rating, server, service as service_standin};
+use yuccareel::standins::{engine, link, platform, rating, server, service as service_standin};
 use yuccareel::{daemon, record_reader, settings, token_index};
 
 use super::observation::CellObservations;
@@ -47,6 +47,8 @@
     pub serial: AtomicU64,
     /// Held during a request of a session of the background load.
     pub session_turn: tokio::sync::Mutex<()>,
+    /// Links through which instances reach each other.
+    pub peer_links: Mutex<Vec<link::LinkStandin>>,
 }
 
 /// Waits until a condition holds; false when it does not within `PATIENCE`.
@@ -64,7 +66,7 @@
 impl CellWorld {
     /// Platform with three ready instances.
     pub async fn start() -> Arc<Self> {
-        let mut platform = platform::PlatformStandin::start().await;
+        let mut platform = platform::PlatformStandin::start_linked().await;
         for (name, data_centre, version) in [
             ("e1", "dc-a", "v1"),
             ("e2", "dc-b", "v1"),
@@ -91,6 +93,7 @@
             seen: Mutex::default(),
             serial: AtomicU64::new(1),
             session_turn: tokio::sync::Mutex::default(),
+            peer_links: Mutex::default(),
         });
         world.seen.lock().allowed = vec![
             (ACME.to_owned(), vec!["v1".to_owned(), "v2".to_owned()]),
@@ -117,11 +120,15 @@
 
     /// Starts an instance and lists it; callers do not know it yet.
     pub async fn add_instance(&self, name: &str, data_centre: &str) {
-        let settings = self.settings(name, data_centre);
+        let link = link::LinkStandin::bind().await;
+        let mut settings = self.settings(name, data_centre);
+        settings.peer_advertise = link.address;
         let logger = slog::Logger::root(slog::Discard, slog::o!());
         let served = daemon::ServedNode::start(&settings, logger, None).await.unwrap();
-        let (address, peers) = (served.address, served.running.peer_address());
-        self.platform.list_entry(name, address, peers, data_centre);
+        let address = served.address;
+        link.connect_to(served.running.peer_address());
+        self.platform.list_entry(name, address, link.address, data_centre);
+        self.peer_links.lock().push(link);
         self.instances.lock().push(Arc::new(CellInstance {
             name: name.to_owned(),
             address,
@@ -247,6 +254,12 @@
         }
     }
 
+    /// Silences every open connection to the platform, to engines and between instances.
+    pub fn silence_connections(&self) {
+        self.platform.silence_connections();
+        self.peer_links.lock().iter().for_each(link::LinkStandin::silence_open);
+    }
+
     /// Ends all instances at once.
     pub fn end(&self) {
         for instance in self.instances.lock().iter() {
--- a/tests/kv_contract.rs
+++ b/tests/kv_contract.rs
@@ -7,7 +7,7 @@
 use futures::StreamExt as _;
 use yuccareel::kv_client;
 use yuccareel::kv_store::{KvCompare, KvError, KvEvent, KvOperation, KvStore, KvTransaction};
-use yuccareel::standins::{kv, kv_http, server};
+use yuccareel::standins::{kv, kv_http, link, server};
 
 async fn stores() -> Vec<(&'static str, kv::KvStandin, Arc<dyn KvStore>)> {
     let direct = kv::KvStandin::default();
@@ -156,3 +156,21 @@
     let error = store.get("k").await.unwrap_err();
     assert!(matches!(error, KvError::Unreachable(_)), "{error}");
 }
+
+/// Guards against a pool that hands out its silent connections one after another, each until
+/// the timeout: five would keep a booking waiting for 10 s.
+#[tokio::test]
+async fn silent_pool_costs_one_call() {
+    let (address, _task) = server::serve(kv_http::router(kv::KvStandin::default())).await;
+    let link = link::LinkStandin::bind().await;
+    link.connect_to(address);
+    let url = format!("http://{}", link.address);
+    let store = kv_client::HttpKvStore::new(reqwest::Client::new(), url);
+    for reply in futures::future::join_all([(); 5].map(|()| store.get("k"))).await {
+        reply.unwrap();
+    }
+    link.silence_open();
+    let silent = store.get("k").await;
+    assert!(matches!(silent, Err(KvError::NoAnswer(_))), "{silent:?}");
+    store.get("k").await.unwrap();
+}
--- a/tests/peer_contract.rs
+++ b/tests/peer_contract.rs
@@ -26,6 +26,7 @@
 use yuccareel::rollout_evidence::{EvidenceBlock, EvidenceReport, VersionEvidence};
 use yuccareel::rollout_stage::RolloutState;
 use yuccareel::session_table::{SessionModel, SessionPin};
+use yuccareel::standins::link;
 
 const LIMIT: Duration = Duration::from_secs(5);
 
@@ -351,45 +352,18 @@
     assert!(!outcome.unwrap_err().may_have_run());
 }
 
-/// Forwards connections; the first one goes silent on demand while new ones work.
-struct SilentRelay {
-    address: SocketAddr,
-    silent: Arc<tokio::sync::Notify>,
-    connections: Arc<Mutex<usize>>,
-}
-
-async fn relay(target: SocketAddr) -> SilentRelay {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (silent, connections) = (Arc::new(tokio::sync::Notify::new()), Arc::new(Mutex::new(0)));
-    let (silence, count) = (Arc::clone(&silent), Arc::clone(&connections));
-    tokio::spawn(async move {
-        while let Ok((mut near, _)) = listener.accept().await {
-            *count.lock() += 1;
-            let silence = Arc::clone(&silence);
-            tokio::spawn(async move {
-                let mut far = tokio::net::TcpStream::connect(target).await.unwrap();
-                tokio::select! {
-                    _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
-                    () = silence.notified() => std::future::pending().await,
-                }
-            });
-        }
-    });
-    SilentRelay { address, silent, connections }
-}
-
 /// Guards against a client that keeps a connection that went silent for good, and against one
 /// that opens a connection per call.
 #[tokio::test]
 async fn silent_connection_is_replaced() {
     let Served { service, client, .. } = served();
-    let relay = relay(service.address()).await;
+    let relay = link::LinkStandin::bind().await;
+    relay.connect_to(service.address());
     for _ in 0..3 {
         client.claim(relay.address, LIMIT, &claim("k")).await.unwrap();
     }
-    assert_eq!(*relay.connections.lock(), 1);
-    relay.silent.notify_waiters();
+    assert_eq!(relay.accepted(), 1);
+    relay.silence_open();
     let limit = Duration::from_millis(200);
     let outcome = client.claim(relay.address, limit, &claim("k")).await;
     assert_eq!(outcome, Err(PeerError::NoAnswer));
@@ -397,7 +371,7 @@
     while client.claim(relay.address, limit, &claim("k")).await.is_err() {
         assert!(started.elapsed() < Duration::from_secs(10), "the connection is not replaced");
     }
-    assert_eq!(*relay.connections.lock(), 2);
+    assert_eq!(relay.accepted(), 2);
 }
 
 /// Guards against a call that hangs, or that is said not to have run, when its peer stops.
