--- a/tests/listed_view.rs
+++ b/tests/listed_view.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
 use yuccareel::instance_list::{InstanceRole, InstanceState, ListedInstance};
 use yuccareel::listed_view::ListedView;
 use yuccareel::peer_message::PushRequest;
@@ -24,7 +26,7 @@
 use InstanceState::{Leaving, Live};
 use ListNews::{Pushed, Whole};
 
-const CASES: [ListCase; 8] = [
+const CASES: [ListCase; 10] = [
     ListCase {
         name: "a whole list read before the push does not undo it",
         news: &[Whole(1, Some(Live)), Pushed(5, Some(Leaving)), Whole(4, Some(Live))],
@@ -50,6 +52,16 @@
         news: &[Whole(1, Some(Leaving)), Pushed(2, Some(Live))],
         state: Some(Leaving),
     },
+    ListCase {
+        name: "a late push does not bring a removed engine back",
+        news: &[Whole(1, Some(Live)), Pushed(2, None), Pushed(3, Some(Live))],
+        state: None,
+    },
+    ListCase {
+        name: "a whole list brings a removed engine back",
+        news: &[Whole(1, Some(Live)), Pushed(2, None), Whole(3, Some(Live))],
+        state: Some(Live),
+    },
     ListCase {
         name: "an older whole list is ignored",
         news: &[Whole(3, Some(Leaving)), Whole(2, Some(Live))],
@@ -67,6 +79,14 @@
     },
 ];
 
+fn push(state: Option<InstanceState>) -> PushRequest {
+    PushRequest {
+        instances: state.map(engine).into_iter().collect(),
+        removed_instances: Vec::from_iter(state.is_none().then(|| "e1".into())),
+        ..Default::default()
+    }
+}
+
 fn engine(state: InstanceState) -> ListedInstance {
     ListedInstance {
         name: "e1".into(),
@@ -91,15 +111,52 @@
                     view.adopt(entries, Duration::from_secs(*read_at));
                 }
                 Pushed(at, state) => {
-                    let push = PushRequest {
-                        instances: state.map(engine).into_iter().collect(),
-                        removed_instances: Vec::from_iter(state.is_none().then(|| "e1".into())),
-                        ..Default::default()
-                    };
-                    view.apply_push(&push, Duration::from_secs(*at));
+                    view.apply_push(&push(*state), Duration::from_secs(*at));
                 }
             }
         }
         assert_eq!(view.entries.first().map(|entry| entry.state), case.state, "{}", case.name);
     }
 }
+
+/// Guards against an old and a new push that undo each other at every node and are relayed
+/// without end: nodes read the list and were reverted by the next relay, for seconds.
+#[test]
+fn relayed_pushes_settle_on_the_last_state() {
+    const NODES: usize = 3;
+    const DELIVERIES_MAX: usize = 100;
+    for last in [Some(Leaving), None] {
+        for seed in 0..200 {
+            let mut random = StdRng::seed_from_u64(seed);
+            let mut views = vec![ListedView::default(); NODES];
+            let mut pending: Vec<(usize, Option<InstanceState>)> = Vec::new();
+            // Some nodes know the engine; the first push is still on its way to the others.
+            for (node, view) in views.iter_mut().enumerate() {
+                match random.random_bool(0.5) {
+                    true => drop(view.adopt(vec![engine(Live)], Duration::from_secs(1))),
+                    false => pending.push((node, Some(Live))),
+                }
+            }
+            views[0].adopt(vec![engine(Live)], Duration::from_secs(1));
+            views[0].adopt(last.map(engine).into_iter().collect(), Duration::from_secs(2));
+            pending.extend((1..NODES).map(|node| (node, last)));
+            let mut deliveries = 0;
+            while !pending.is_empty() {
+                let (node, state) = pending.swap_remove(random.random_range(0..pending.len()));
+                deliveries += 1;
+                assert!(deliveries <= DELIVERIES_MAX, "seed {seed}: pushes go on for ever");
+                if views[node].apply_push(&push(state), Duration::from_secs(3)) {
+                    let others = (0..NODES).filter(|other| *other != node);
+                    pending.extend(others.map(|other| (other, state)));
+                }
+            }
+            // A node that never knew the engine takes its removal for nothing new and may learn
+            // of it by the late push; the next whole list tells it.
+            let knew = |view: &&ListedView| view.read_at >= Some(Duration::from_secs(1));
+            for view in views.iter().filter(|view| last.is_some() || knew(view)) {
+                let state = view.entries.first().map(|entry| entry.state);
+                assert_eq!(state, last, "seed {seed}");
+            }
+        }
+    }
+}
