Leave out replicas whose address belongs to another engine

The instance list lags, so the address of a replica may belong to an engine with another model or version. The engine stand-in ran such a body as its own, and the daemon knew no such refusal: it kept choosing the replica.

The stand-in answers 404 to a body for a model or version that it does not serve. The daemon counts the attempt as `version_not_served`, retries it elsewhere without drawing on the budget, since nothing ran, and gives the replica no work until the list is read again. When no replica is left the refusal is `no_replica`, `ran: no`, which is no evidence against a version.

The verdict table of `tests/retry_budget.rs` lists the new free retry.

--- a/src/answer_reader.rs
+++ b/src/answer_reader.rs
@@ -347,6 +347,7 @@
     match reason {
         retry_reason::RetryReason::BackendCold => refusal_reason::RefusalReason::ColdStart,
         retry_reason::RetryReason::BackendBusy => refusal_reason::RefusalReason::Overloaded,
+        retry_reason::RetryReason::VersionNotServed => refusal_reason::RefusalReason::NoReplica,
         retry_reason::RetryReason::StreamTruncated | retry_reason::RetryReason::ProgressTimeout
             if delivered =>
         {
--- a/src/engine_client.rs
+++ b/src/engine_client.rs
@@ -218,7 +218,8 @@
     }
 }
 
-/// Refusals that prove that nothing ran carry `x-ran: no`.
+/// Refusals that prove that nothing ran carry `x-ran: no`. A 404 proves it by itself: the server at
+/// the address does not serve the model and version of the body.
 fn check_status(response: &reqwest::Response) -> Result<(), AttemptError> {
     use retry_reason::RetryReason as Reason;
     let status = response.status();
@@ -226,6 +227,7 @@
         return Ok(());
     }
     let reason = match status.as_u16() {
+        404 => return Err(AttemptError::not_run(Reason::VersionNotServed, status)),
         503 => Reason::BackendCold,
         429 => Reason::BackendBusy,
         _ => Reason::BackendError,
--- a/src/event_catalogue.rs
+++ b/src/event_catalogue.rs
@@ -53,6 +53,7 @@
     RequestRefused = 501 Debug "request_refused" "request refused";
     AttemptRetried = 502 Debug "attempt_retried" "attempt failed and is retried";
     ReplicaCold = 510 Info "replica_cold" "replica turned cold";
+    ReplicaForeign = 511 Warning "replica_foreign" "another server has the replica's address; it is left out until the list is read again";
     SessionRepinned = 550 Info "session_repinned" "session moved off a withdrawn version";
     RatingFailed = 560 Warning "rating_failed" "rating service failed; planning by learned pass rates";
     HolderTaken = 601 Info "holder_taken" "this node holds the rollouts";
--- a/src/node_dispatch.rs
+++ b/src/node_dispatch.rs
@@ -294,13 +294,14 @@
             prefix_bonus: &[],
         };
         let checked = route_decision::check_request(tables, request, now);
-        let leaving = table.find(&dispatch.row.name).is_none_or(|row| row.leaving);
+        let row = table.find(&dispatch.row.name);
+        let gone = row.is_none_or(|row| row.leaving || row.foreign());
         let reason = match checked {
             Err(reason) => reason,
             Ok(()) if snapshot.drained(&dispatch.row.data_centre) => {
                 RefusalReason::DataCentreDrained
             }
-            Ok(()) if leaving => RefusalReason::NoReplica,
+            Ok(()) if gone => RefusalReason::NoReplica,
             Ok(()) => return Ok(()),
         };
         Err(error_body::RequestRefusal::unknown(reason, "answer could not be resumed"))
--- a/src/node_replicas.rs
+++ b/src/node_replicas.rs
@@ -53,6 +53,7 @@
                 () = self.stopped.cancelled() => return,
                 _ = ticks.tick() => {
                     self.forget_gone();
+                    self.readmit_replicas();
                     self.read_reports().await;
                 }
             }
@@ -71,6 +72,16 @@
         self.learned.lock().retain(|name, _| replica(name));
     }
 
+    /// Lets replicas take work again at whose address another server was found before the
+    /// instance list was last read.
+    fn readmit_replicas(&self) {
+        let Some(read_at) = self.listed.lock().read_at else { return };
+        let routes = self.routes.load();
+        for member in routes.subset.all() {
+            routes.table.row(member.index).clear_foreign(read_at);
+        }
+    }
+
     async fn read_reports(&self) {
         let read = self.reported_replicas();
         let engine = &self.engine;
@@ -269,9 +280,23 @@
     ) {
         metrics::counter!("yuccareel_attempts_failed_total", "reason" => error.reason.code())
             .increment(1);
-        if error.reason == retry_reason::RetryReason::BackendCold {
-            self.report_sign(&dispatch.row.name, cold_start::WarmupSign::Refused);
+        match error.reason {
+            retry_reason::RetryReason::BackendCold => {
+                self.report_sign(&dispatch.row.name, cold_start::WarmupSign::Refused);
+            }
+            retry_reason::RetryReason::VersionNotServed => self.note_foreign(&dispatch.row),
+            _ => {}
+        }
+    }
+
+    /// Leaves out a replica at whose address another server answers.
+    fn note_foreign(&self, row: &replica_table::ReplicaRow) {
+        if !row.mark_foreign(self.clock()) {
+            return;
         }
+        self.prefixes.lock().forget(&row.name);
+        let fields = slog::o!("replica" => row.name.to_string(), "address" => row.address);
+        self.emit(LogEvent::ReplicaForeign, fields);
     }
 }
 
--- a/src/replica_table.rs
+++ b/src/replica_table.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use crate::{ids, instance_list};
@@ -36,6 +36,9 @@
     pub pool: ReplicaPool,
     /// Whether it takes new work.
     pub leaving: bool,
+    /// Clock in milliseconds at which another server was found at the address; 0 while none was.
+    /// The replica takes no work until the instance list is read again.
+    pub foreign_at_ms: Arc<AtomicU64>,
     /// Whether it refuses orders with an old fencing token.
     pub checks_fencing: bool,
     /// Last load report.
@@ -44,6 +47,27 @@
     pub in_flight: Arc<AtomicU32>,
 }
 
+impl ReplicaRow {
+    /// Whether another server was found at the address.
+    pub fn foreign(&self) -> bool {
+        self.foreign_at_ms.load(Ordering::Relaxed) > 0
+    }
+
+    /// Records that another server was found at the address; true when none was known there.
+    pub fn mark_foreign(&self, now: Duration) -> bool {
+        let now_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX).max(1);
+        self.foreign_at_ms.swap(now_ms, Ordering::Relaxed) == 0
+    }
+
+    /// Lets the replica take work again when the list was read after the server was found.
+    pub fn clear_foreign(&self, list_read_at: Duration) {
+        let found_at = Duration::from_millis(self.foreign_at_ms.load(Ordering::Relaxed));
+        if list_read_at > found_at {
+            self.foreign_at_ms.store(0, Ordering::Relaxed);
+        }
+    }
+}
+
 /// Load report of a replica.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LoadReport {
@@ -148,6 +172,7 @@
         data_centre: listed.data_centre.clone(),
         pool,
         leaving: listed.state == instance_list::InstanceState::Leaving,
+        foreign_at_ms: known.map(|row| Arc::clone(&row.foreign_at_ms)).unwrap_or_default(),
         checks_fencing,
         report: known.and_then(|row| row.report.clone()),
         in_flight: known.map(|row| Arc::clone(&row.in_flight)).unwrap_or_default(),
--- a/src/retry_budget.rs
+++ b/src/retry_budget.rs
@@ -53,7 +53,9 @@
         return RetryVerdict::Never;
     }
     match (progress, reason) {
-        (SendProgress::NotSent, RetryReason::ConnectFailed) => RetryVerdict::RetryFree,
+        (SendProgress::NotSent, RetryReason::ConnectFailed | RetryReason::VersionNotServed) => {
+            RetryVerdict::RetryFree
+        }
         (SendProgress::NotSent, _) => RetryVerdict::RetryPaid,
         (SendProgress::MaybeSent | SendProgress::AnswerStarted, _) if !repeatable => {
             RetryVerdict::Never
--- a/src/retry_reason.rs
+++ b/src/retry_reason.rs
@@ -11,6 +11,8 @@
     BackendBusy,
     /// Backend server answered with an error.
     BackendError,
+    /// Another backend server has the address; it does not serve the model and version.
+    VersionNotServed,
     /// No byte within the progress timeout.
     ProgressTimeout,
     /// Stream ended before its end marker.
@@ -21,11 +23,12 @@
 
 impl RetryReason {
     /// All reasons, for the metrics and the documentation test.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::ConnectFailed,
         Self::BackendCold,
         Self::BackendBusy,
         Self::BackendError,
+        Self::VersionNotServed,
         Self::ProgressTimeout,
         Self::StreamTruncated,
         Self::AnswerMismatched,
@@ -38,6 +41,7 @@
             Self::BackendCold => "backend_cold",
             Self::BackendBusy => "backend_busy",
             Self::BackendError => "backend_error",
+            Self::VersionNotServed => "version_not_served",
             Self::ProgressTimeout => "progress_timeout",
             Self::StreamTruncated => "stream_truncated",
             Self::AnswerMismatched => "answer_mismatched",
--- a/src/route_decision.rs
+++ b/src/route_decision.rs
@@ -213,7 +213,7 @@
         bounds: cold_start::WarmupBounds,
         now: Duration,
     ) -> Option<ReplicaCredit> {
-        if row.leaving {
+        if row.leaving || row.foreign() {
             return None;
         }
         self.live += 1;
--- a/src/standins/engine.rs
+++ b/src/standins/engine.rs
@@ -44,6 +44,15 @@
     pub warm_after: u32,
 }
 
+/// Model and version that an engine serves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServedVersion {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: String,
+}
+
 /// Fault switches.
 #[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
 #[serde(default)]
@@ -105,6 +114,10 @@
     pub received: Arc<Mutex<Vec<ReceivedRequest>>>,
     /// Requests refused for want of room.
     pub refused: Arc<Mutex<Vec<RefusedRequest>>>,
+    /// Model and version that are served now; at first those of the options.
+    pub served: Arc<Mutex<ServedVersion>>,
+    /// Requests refused because they name another model or version.
+    pub foreign: Arc<AtomicU32>,
     running: Arc<AtomicU32>,
     answers: Arc<AtomicU32>,
     boot: Arc<Mutex<u32>>,
@@ -115,7 +128,11 @@
     /// Engine that starts warm or cold.
     pub fn new(options: EngineOptions, warm: bool) -> Self {
         let answers = if warm { options.warm_after } else { 0 };
+        let served =
+            ServedVersion { model: options.model.clone(), version: options.version.clone() };
         Self {
+            served: Arc::new(Mutex::new(served)),
+            foreign: Arc::default(),
             options: Arc::new(options),
             faults: Arc::default(),
             received: Arc::default(),
@@ -133,6 +150,13 @@
         *self.boot.lock() += 1;
     }
 
+    /// Gives the address to an engine with another version, as warm as this one.
+    pub fn reassign(&self, model: &str, version: &str) {
+        *self.served.lock() =
+            ServedVersion { model: model.to_owned(), version: version.to_owned() };
+        *self.boot.lock() += 1;
+    }
+
     /// Whether the engine is cold.
     pub fn cold(&self) -> bool {
         self.answers.load(Ordering::SeqCst) < self.options.warm_after
@@ -169,6 +193,12 @@
             refuse(response, StatusCode::BAD_REQUEST, true);
             return;
         };
+        let served = self.served.lock().clone();
+        if body["model"] != served.model || body["version"] != served.version {
+            self.foreign.fetch_add(1, Ordering::SeqCst);
+            refuse(response, StatusCode::NOT_FOUND, true);
+            return;
+        }
         let Some(slot) = self.admit() else {
             let cold = self.cold();
             self.refused.lock().push(RefusedRequest {
@@ -199,7 +229,7 @@
             std::future::pending::<()>().await;
         }
         response.headers_mut().insert("content-type", "text/event-stream".parse().expect("static"));
-        response.stream(self.answer(id, &body, resume, fault, slot));
+        response.stream(self.answer(id, &body, served, resume, fault, slot));
     }
 
     fn take_fault(&self) -> Option<StreamFault> {
@@ -232,6 +262,7 @@
         &self,
         id: String,
         body: &Value,
+        served: ServedVersion,
         resume: u64,
         fault: Option<StreamFault>,
         slot: RunningSlot,
@@ -242,7 +273,8 @@
         let state = AnswerState {
             engine: self.clone(),
             id,
-            words: answer_words(&self.options, &prompt, skill, total),
+            words: answer_words(&served, &prompt, skill, total),
+            served,
             prompt_tokens: prompt.split_whitespace().count() as u64,
             offset: resume,
             fault,
@@ -276,6 +308,7 @@
 struct AnswerState {
     engine: EngineStandin,
     id: String,
+    served: ServedVersion,
     words: Vec<String>,
     prompt_tokens: u64,
     offset: u64,
@@ -293,7 +326,7 @@
             self.fault = None;
             let other = "f".repeat(32);
             return Some((
-                Ok(token_event(&self.engine.options.model, &other, self.offset, "crossed ")),
+                Ok(token_event(&self.served.model, &other, self.offset, "crossed ")),
                 self,
             ));
         }
@@ -301,7 +334,7 @@
         if self.offset >= total {
             self.ended = true;
             self.engine.answers.fetch_add(1, Ordering::SeqCst);
-            let event = end_event(&self.engine.options.model, &self.id, self.prompt_tokens, total);
+            let event = end_event(&self.served.model, &self.id, self.prompt_tokens, total);
             return Some((Ok(event), self));
         }
         if self.offset >= total / 2 {
@@ -315,7 +348,7 @@
             tokio::time::sleep(self.engine.options.token_time).await;
         }
         let event = token_event(
-            &self.engine.options.model,
+            &self.served.model,
             &self.id,
             self.offset,
             &self.words[self.offset as usize],
@@ -333,11 +366,11 @@
 }
 
 /// Words of an answer; the rating stand-in reads model and ability from them.
-fn answer_words(options: &EngineOptions, prompt: &str, skill: f64, total: u64) -> Vec<String> {
-    let good = rating::is_good(prompt, &options.model, skill);
+fn answer_words(served: &ServedVersion, prompt: &str, skill: f64, total: u64) -> Vec<String> {
+    let good = rating::is_good(prompt, &served.model, skill);
     let mark = if good { GOOD_MARK } else { POOR_MARK };
-    let rated = rating::answer_text(&options.model, skill);
-    let text = format!("{mark} {}/{} {rated}", options.model, options.version);
+    let rated = rating::answer_text(&served.model, skill);
+    let text = format!("{mark} {}/{} {rated}", served.model, served.version);
     let mut words: Vec<String> = text.split_whitespace().map(|word| format!("{word} ")).collect();
     words.extend((words.len() as u64..total).map(|index| format!("w{index} ")));
     words.truncate(total as usize);
--- a/src/standins/list.rs
+++ b/src/standins/list.rs
@@ -41,6 +41,17 @@
         }
     }
 
+    /// Lists another version for an engine.
+    pub fn change_version(&self, name: &str, listed: &str) {
+        let mut instances = self.instances.lock();
+        let found = instances.iter_mut().find(|instance| &*instance.name == name);
+        if let Some(instance_list::InstanceRole::Engine { version, .. }) =
+            found.map(|instance| &mut instance.role)
+        {
+            *version = listed.into();
+        }
+    }
+
     /// Whether an instance is listed.
     pub fn lists(&self, name: &str) -> bool {
         self.instances.lock().iter().any(|instance| &*instance.name == name)
--- a/tests/fault_world/cell.rs
+++ b/tests/fault_world/cell.rs
@@ -216,6 +216,7 @@
             seen.arrivals.extend(placed.engine.received.lock().iter().map(|request| {
                 BackendArrival {
                     at: request.admitted_at.duration_since(self.epoch),
+                    version: request.version.clone(),
                     request_id: request.request_id.clone(),
                     cold: request.cold,
                     concurrency: request.concurrency,
--- a/tests/fault_world/faults.rs
+++ b/tests/fault_world/faults.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use yuccareel::standins::engine;
 use yuccareel::standins::kv::KvFaults;
 
 use super::callers::ChatSpec;
@@ -32,11 +33,13 @@
     BackendLeaving,
     DataCentreDrained,
     RatingGone,
+    /// Two engines exchange their versions; the list tells it only when the fault ends.
+    AddressReassigned,
 }
 
 impl Fault {
     /// Faults of the matrix.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::VersionBad,
         Self::PoolExhausted,
         Self::ColdAgain,
@@ -51,6 +54,7 @@
         Self::BackendLeaving,
         Self::DataCentreDrained,
         Self::RatingGone,
+        Self::AddressReassigned,
     ];
 
     /// Waits for the state without which the fault would meet no mechanism.
@@ -68,7 +72,8 @@
             // Longer than the age at which a configuration counts as unconfirmed.
             Self::KvDown | Self::KvSlow => Duration::from_secs(4),
             Self::DataCentreDrained => DRAIN_BOUND + Duration::from_secs(1),
-            Self::ListLagging => Duration::from_secs(2),
+            // Longer than two readings of the list.
+            Self::ListLagging | Self::AddressReassigned => Duration::from_secs(2),
             // Afterwards every sender has to know that the engine is cold.
             Self::ColdBurst => COLD_BOUND,
             _ => Duration::from_secs(1),
@@ -135,6 +140,10 @@
                 world.set_drained("dc-b", true).await;
             }
             Self::RatingGone => world.rating.faults.lock().outage = true,
+            Self::AddressReassigned => {
+                world.engine("e2").reassign("small", "v2");
+                world.engine("e4").reassign("small", "v1");
+            }
         }
     }
 
@@ -169,6 +178,10 @@
                 world.set_drained("dc-b", false).await;
             }
             Self::RatingGone => world.rating.faults.lock().outage = false,
+            Self::AddressReassigned => {
+                world.platform.list.change_version("e2", "v2");
+                world.platform.list.change_version("e4", "v1");
+            }
             Self::ColdBurst => world.send_burst(BURST, 20).await,
             Self::ColdAgain
             | Self::LeasesLapsed
@@ -182,12 +195,16 @@
 impl CellWorld {
     fn set_bad(&self, errors: bool) {
         for placed in &self.platform.engines {
-            if placed.engine.options.version == "v2" {
-                placed.engine.faults.lock().errors = errors;
-            }
+            let bad = errors && placed.engine.served.lock().version == "v2";
+            placed.engine.faults.lock().errors = bad;
         }
     }
 
+    fn engine(&self, name: &str) -> &engine::EngineStandin {
+        let engines = self.platform.engines.iter().map(|placed| &placed.engine);
+        engines.clone().find(|engine| engine.options.name == name).expect("a known engine")
+    }
+
     /// Sends requests to all instances at once, for each version in turn.
     pub async fn send_burst(self: &Arc<Self>, requests: usize, tokens: u64) {
         let mut calls = tokio::task::JoinSet::new();
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -13,7 +13,10 @@
         repeatable: bool,
         expected: fn(Reason) -> RetryVerdict,
     }
-    let not_sent = |reason| if reason == Reason::ConnectFailed { RetryFree } else { RetryPaid };
+    let not_sent = |reason| match reason {
+        Reason::ConnectFailed | Reason::VersionNotServed => RetryFree,
+        _ => RetryPaid,
+    };
     let cases = [
         Case { progress: SendProgress::NotSent, repeatable: false, expected: not_sent },
         Case { progress: SendProgress::NotSent, repeatable: true, expected: not_sent },
