Read the cache events of engines

The prefix index could apply cache events, but the engine stand-in published none and no node read any, so that a node knew its own sends only.

An idle node reads none.

--- a/examples/measure_world/shape.rs
+++ b/examples/measure_world/shape.rs
@@ -80,7 +80,8 @@
     pub overnight_reports: bool,
 }
 
-const fn model(
+/// Model with its costs and the time of a token in milliseconds.
+pub const fn model(
     name: &'static str,
     skill: f64,
     costs: (u64, u64),
@@ -185,6 +186,23 @@
 }
 
 impl DeploymentShape {
+    /// One data centre with one model and no distances.
+    pub const fn local(name: &'static str, models: &'static [ModelShape], warm: u32) -> Self {
+        Self {
+            name,
+            region: "local",
+            data_centres: &["dc-a"],
+            caller_trip: Duration::ZERO,
+            data_centre_trip: Duration::ZERO,
+            models,
+            service: "registry",
+            service_replicas: 1,
+            warm,
+            kinds: &[],
+            overnight_reports: false,
+        }
+    }
+
     /// Deployment by name.
     pub fn find(name: &str) -> Option<Self> {
         [AUTHORITY, RUNGWELL].into_iter().find(|shape| shape.name == name)
--- a/examples/overhead.rs
+++ b/examples/overhead.rs
@@ -30,26 +30,11 @@
 const TURNS: usize = 5;
 
 /// One model that answers without delay.
-const SHAPE: shape::DeploymentShape = shape::DeploymentShape {
-    name: "overhead",
-    region: "local",
-    data_centres: &["dc-a"],
-    caller_trip: Duration::ZERO,
-    data_centre_trip: Duration::ZERO,
-    models: &[shape::ModelShape {
-        name: "small",
-        skill: 1.0,
-        input_cost: 100,
-        output_cost: 1_000,
-        token_time: Duration::ZERO,
-        replicas: &[("v1", 4)],
-    }],
-    service: "registry",
-    service_replicas: 1,
-    warm: 4_096,
-    kinds: &[],
-    overnight_reports: false,
-};
+const SHAPE: shape::DeploymentShape = shape::DeploymentShape::local(
+    "overhead",
+    &[shape::model("small", 1.0, (100, 1_000), 0, &[("v1", 4)])],
+    4_096,
+);
 
 const CASES: [LoadCase; 7] = [
     LoadCase {
--- a/src/engine_client.rs
+++ b/src/engine_client.rs
@@ -22,7 +22,9 @@
 pub const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between two tokens.
 pub const TOKEN_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time for a load report or a cancel.
+/// Prefixes of cache events that one reading asks for.
+pub const EVENT_PREFIXES: usize = 32;
+/// Time for a load report, cache events or a cancel.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Priority that the engine honours.
@@ -115,6 +117,28 @@
     pub boot: ids::BootId,
 }
 
+/// Change of an engine's prefix cache.
+#[derive(Clone, Debug, Default, Deserialize, serde::Serialize)]
+pub struct EngineCacheEvent {
+    /// Dense number within the boot, from 1.
+    pub sequence: u64,
+    /// Prefixes that entered the cache.
+    #[serde(default)]
+    pub stored: Vec<u64>,
+    /// Prefixes that left the cache.
+    #[serde(default)]
+    pub evicted: Vec<u64>,
+}
+
+/// Cache events as engines publish them.
+#[derive(Clone, Debug, Deserialize, serde::Serialize)]
+pub struct EngineCacheEvents {
+    /// Start of the engine process.
+    pub boot: ids::BootId,
+    /// Events in the order of their numbers.
+    pub events: Vec<EngineCacheEvent>,
+}
+
 #[derive(Deserialize)]
 struct ChunkBody {
     id: String,
@@ -201,6 +225,23 @@
         request.send().await?.error_for_status()?.json().await
     }
 
+    /// Reads published cache events after those that are known, up to `EVENT_PREFIXES` prefixes.
+    ///
+    /// # Errors
+    /// When the engine cannot be reached or publishes no events.
+    pub async fn cache_events(
+        &self,
+        address: SocketAddr,
+        known: &Option<(ids::BootId, u64)>,
+    ) -> Result<EngineCacheEvents, reqwest::Error> {
+        let (boot, after) = known.as_ref().map_or(("", 0), |(boot, last)| (boot, *last));
+        let url = format!(
+            "http://{address}/cache-events?boot={boot}&after={after}&prefixes={EVENT_PREFIXES}"
+        );
+        let request = self.pooled.get(url).timeout(CONTROL_TIMEOUT);
+        request.send().await?.error_for_status()?.json().await
+    }
+
     /// Cancels a request at an engine; a failure only costs the engine's time.
     pub async fn cancel(&self, address: SocketAddr, request_id: ids::RequestId) {
         let url = format!("http://{address}/v1/requests/{request_id:032x}");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,6 +73,7 @@
 pub mod node_dispatch;
 pub mod node_handler;
 pub mod node_members;
+pub mod node_prefixes;
 pub mod node_quota;
 pub mod node_rating;
 pub mod node_replicas;
--- a/src/node.rs
+++ b/src/node.rs
@@ -138,6 +138,8 @@
     pub rating_health: Mutex<rating_client::RatingHealth>,
     /// Cached prompt prefixes.
     pub prefixes: Mutex<prefix_index::PrefixIndex>,
+    /// Clock of the last prompt with prefixes, by pool.
+    pub prefix_uses: Mutex<HashMap<replica_table::ReplicaPool, Duration>>,
     /// Rollouts as this node knows them.
     pub rollouts: node_rollout::RolloutView,
     /// Bills of this instance.
@@ -217,6 +219,7 @@
                 quality: Mutex::default(),
                 rating_health: Mutex::default(),
                 prefixes: Mutex::default(),
+                prefix_uses: Mutex::default(),
                 rollouts: node_rollout::RolloutView::default(),
                 ledger: Arc::new(bill_ledger::BillLedger::new(
                     process.clone(),
@@ -301,6 +304,7 @@
             tokio::spawn(Arc::clone(self).run_configuration()),
             tokio::spawn(Arc::clone(self).run_members()),
             tokio::spawn(Arc::clone(self).run_replicas()),
+            tokio::spawn(Arc::clone(self).run_prefixes()),
             tokio::spawn(Arc::clone(self).run_quota()),
             tokio::spawn(Arc::clone(self).run_queues()),
             tokio::spawn(Arc::clone(self).run_rollouts()),
--- a/src/node_dispatch.rs
+++ b/src/node_dispatch.rs
@@ -71,7 +71,10 @@
         if attempts == 0 {
             self.retries.lock().record_first(&job.customer.name, &guard.row.name);
         }
-        self.prefixes.lock().record_send(&guard.row.name, &prefixes);
+        if !prefixes.is_empty() {
+            self.prefixes.lock().record_send(&guard.row.name, &prefixes);
+            self.prefix_uses.lock().insert(pool, self.clock());
+        }
         Ok(guard)
     }
 
--- a/src/prefix_index.rs
+++ b/src/prefix_index.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Start of the engine process and number of the last event of a replica.
+    pub fn last_event(&self, replica: &str) -> Option<&(ids::BootId, u64)> {
+        self.events.get(replica)
+    }
+
     /// Forgets all prefixes of a replica.
     pub fn forget(&mut self, replica: &str) {
         self.events.remove(replica);
--- a/src/standins/engine.rs
+++ b/src/standins/engine.rs
@@ -14,7 +14,8 @@
 use salvo::prelude::{Depot, Request, Response, Router, StatusCode, handler};
 use serde_json::{Value, json};
 
-use crate::standins::rating;
+use crate::standins::{prefix_cache, rating};
+use crate::{engine_client, prefix_index};
 
 /// First word of an answer that meets the quality wanted.
 pub const GOOD_MARK: &str = "good:";
@@ -71,6 +72,8 @@
     pub poor: bool,
     /// Requests of others that take up room.
     pub busy: u32,
+    /// Faults of the published cache events.
+    pub events: prefix_cache::EventFaults,
 }
 
 /// Request as the engine received it.
@@ -116,6 +119,8 @@
     pub refused: Arc<Mutex<Vec<RefusedRequest>>>,
     /// Model and version that are served now; at first those of the options.
     pub served: Arc<Mutex<ServedVersion>>,
+    /// Cache of prompt prefixes.
+    pub cache: Arc<Mutex<prefix_cache::PrefixCache>>,
     /// Requests refused because they name another model or version.
     pub foreign: Arc<AtomicU32>,
     running: Arc<AtomicU32>,
@@ -133,6 +138,7 @@
         Self {
             served: Arc::new(Mutex::new(served)),
             foreign: Arc::default(),
+            cache: Arc::default(),
             options: Arc::new(options),
             faults: Arc::default(),
             received: Arc::default(),
@@ -147,14 +153,19 @@
     /// Turns the engine cold without warning.
     pub fn turn_cold(&self) {
         self.answers.store(0, Ordering::SeqCst);
-        *self.boot.lock() += 1;
+        self.restart();
     }
 
     /// Gives the address to an engine with another version, as warm as this one.
     pub fn reassign(&self, model: &str, version: &str) {
         *self.served.lock() =
             ServedVersion { model: model.to_owned(), version: version.to_owned() };
+        self.restart();
+    }
+
+    fn restart(&self) {
         *self.boot.lock() += 1;
+        self.cache.lock().restart();
     }
 
     /// Whether the engine is cold.
@@ -178,9 +189,26 @@
         Router::new()
             .push(Router::with_path("v1/chat/completions").post(route(EngineRoute::Generate)))
             .push(Router::with_path("v1/requests/{id}").delete(route(EngineRoute::Cancel)))
+            .push(Router::with_path("cache-events").get(route(EngineRoute::CacheEvents)))
             .push(Router::with_path("load").get(route(EngineRoute::Load)))
     }
 
+    fn publish(&self, request: &mut Request, response: &mut Response) {
+        let faults = self.faults.lock().events.clone();
+        if faults.off {
+            response.status_code(StatusCode::NOT_FOUND);
+            return;
+        }
+        let (boot, number) = (self.boot(), |name| request.query::<u64>(name).unwrap_or_default());
+        let same_boot = request.query::<String>("boot").is_some_and(|known| known == boot);
+        let after = if same_boot { number("after") } else { 0 };
+        let events = self.cache.lock().events(after, number("prefixes") as usize, &faults);
+        let published = engine_client::EngineCacheEvents { boot: boot.into(), events };
+        let body = serde_json::to_string(&published).unwrap_or_default();
+        self.cache.lock().published_bytes += body.len() as u64;
+        response.render(salvo::writing::Text::Json(body));
+    }
+
     fn limit(&self) -> u32 {
         if self.cold() { self.options.cold_concurrency } else { self.options.warm_concurrency }
     }
@@ -268,6 +296,8 @@
         slot: RunningSlot,
     ) -> impl futures::Stream<Item = Result<Bytes, std::io::Error>> + Send + use<> {
         let prompt = prompt_text(body);
+        let prefixes = prefix_index::prompt_prefixes(prompt.as_bytes());
+        self.cache.lock().take(&prefixes, &self.faults.lock().events);
         let skill = if self.faults.lock().poor { 0.0 } else { self.options.skill };
         let total = body["max_tokens"].as_u64().unwrap_or(self.options.answer_tokens).max(1);
         let state = AnswerState {
@@ -408,6 +438,7 @@
     Generate,
     Cancel,
     Load,
+    CacheEvents,
 }
 
 struct EngineHandler {
@@ -426,6 +457,7 @@
                 engine.cancelled.lock().insert(id, true);
                 response.status_code(StatusCode::NO_CONTENT);
             }
+            EngineRoute::CacheEvents => engine.publish(request, response),
             EngineRoute::Load => response.render(salvo::writing::Json(json!({
                 "requests": engine.running.load(Ordering::SeqCst),
                 "cold": engine.cold(),
--- a/src/standins/mod.rs
+++ b/src/standins/mod.rs
@@ -9,6 +9,7 @@
 pub mod kv_table;
 pub mod list;
 pub mod platform;
+pub mod prefix_cache;
 pub mod rating;
 pub mod server;
 pub mod service;
--- /dev/null
+++ b/tests/cache_events.rs
@@ -0,0 +1,76 @@
+//! Cache events of engines, from their publication to the index of a node.
+
+mod whole_path;
+
+use serde_json::json;
+use yuccareel::prefix_index::prompt_prefixes;
+use yuccareel::standins::prefix_cache::{CACHE_PREFIXES, EventFaults, PrefixCache};
+
+async fn ask(path: &whole_path::WholePath, prompt: &str) {
+    let body = json!({ "model": "small", "messages": [{ "role": "user", "content": prompt }] });
+    let request = reqwest::Client::new().post(path.url("/v1/chat/completions")).json(&body);
+    let reply = request.bearer_auth(whole_path::TOKEN).send().await.unwrap();
+    assert_eq!(reply.status().as_u16(), 200);
+}
+
+/// Guards against a stand-in whose faults do not show in what it publishes.
+#[tokio::test(start_paused = true)]
+async fn the_cache_publishes_late_and_with_gaps() {
+    struct Case {
+        name: &'static str,
+        faults: EventFaults,
+        waited_ms: u64,
+        published: &'static [u64],
+    }
+    let none = EventFaults::default;
+    let late = || EventFaults { late_ms: 500, ..none() };
+    let lost = EventFaults { lose_every: 2, ..none() };
+    let cases = [
+        Case { name: "at once", faults: none(), waited_ms: 0, published: &[1, 2, 3] },
+        Case { name: "not yet", faults: late(), waited_ms: 0, published: &[] },
+        Case { name: "late", faults: late(), waited_ms: 500, published: &[1, 2, 3] },
+        Case { name: "gaps", faults: lost, waited_ms: 0, published: &[1, 3] },
+    ];
+    for case in &cases {
+        let mut cache = PrefixCache::default();
+        for prefix in 1..=3 {
+            cache.take(&[prefix], &case.faults);
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(case.waited_ms)).await;
+        let events = cache.events(0, 64, &case.faults);
+        let numbers: Vec<_> = events.iter().map(|event| event.sequence).collect();
+        assert_eq!(numbers, case.published, "{}", case.name);
+    }
+    let mut cache = PrefixCache::default();
+    let all: Vec<u64> = (0..=CACHE_PREFIXES as u64).collect();
+    cache.take(&all, &none());
+    assert_eq!(cache.events(0, 64, &none())[0].evicted, [0]);
+}
+
+/// Guards against events that no node reads: prefixes that others sent, and evicted ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_learns_what_others_sent_and_what_was_evicted() {
+    let path = whole_path::start().await;
+    let long = "a long prompt ".repeat(40);
+    ask(&path, &long).await;
+    let engine = &path.platform.engines[0].engine;
+    let faults = EventFaults::default();
+    engine.cache.lock().take(&[7], &faults);
+    path.wait(|node| node.prefixes.lock().bonus("e1", &[7]) > 0.0).await;
+    let others: Vec<u64> = (1_000..1_000 + CACHE_PREFIXES as u64).collect();
+    engine.cache.lock().take(&others, &faults);
+    path.wait(|node| node.prefixes.lock().bonus("e1", &[7]) == 0.0).await;
+    let own = prompt_prefixes(long.as_bytes());
+    assert_eq!(path.node().prefixes.lock().bonus("e1", &own), 0.0);
+}
+
+/// Guards against readings by nodes whose prompts have no prefixes, which idle nodes would pay for.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_prompts_cause_no_readings() {
+    let path = whole_path::start().await;
+    ask(&path, "short").await;
+    tokio::time::sleep(std::time::Duration::from_millis(2_500)).await;
+    let bytes =
+        path.platform.engines.iter().map(|placed| placed.engine.cache.lock().published_bytes);
+    assert_eq!(bytes.sum::<u64>(), 0);
+}
