Order engines to load the version of a rollout

The order sender and the weight store client were tested, but no record started an order, and `--weight-store-url` was read and not used.

A rollout record may name `replicas`. Its holder orders them to load the new version, stage by stage, under its fencing token and within the weight store's rate. A stage does not advance before its engines show the version, and new sessions stay on the old version while no engine of the new one is listed. Orders run beside the holder's tick, since a call to an engine may outlast the lease.

--- a/examples/measure_world/operator.rs
+++ b/examples/measure_world/operator.rs
@@ -236,6 +236,7 @@
         max_error_rise: 0.05,
         max_quality_fall: 0.1,
         paused: false,
+        replicas: Vec::new(),
     })
 }
 
--- a/examples/rollout.rs
+++ b/examples/rollout.rs
@@ -66,6 +66,7 @@
         max_error_rise: 0.02,
         max_quality_fall: 0.05,
         paused: false,
+        replicas: Vec::new(),
     }
 }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,7 +10,7 @@
 use crate::event_catalogue::{self, LogEvent};
 use crate::{
     admin_handler, engine_client, http_listener, http_server, instance_list, kv_client, node,
-    node_admin, openapi, peer_handshake, rating_client, settings,
+    node_admin, openapi, peer_handshake, rating_client, settings, weight_client,
 };
 
 /// Time between two looks at whether the instance is ready.
@@ -127,7 +127,11 @@
         shutdown_timeout: settings.limits.shutdown_timeout,
         peer_secret,
         store: Arc::new(kv_client::HttpKvStore::new(http.clone(), &settings.kv_url)),
-        list: instance_list::ListClient::new(http, &settings.instance_list_url),
+        list: instance_list::ListClient::new(http.clone(), &settings.instance_list_url),
+        weights: settings
+            .weight_store_url
+            .as_ref()
+            .map(|url| weight_client::WeightClient::new(http, url)),
         rating,
         logger,
     })
--- a/src/event_catalogue.rs
+++ b/src/event_catalogue.rs
@@ -60,7 +60,9 @@
     HolderLost = 602 Warning "holder_lost" "this node no longer holds the rollouts";
     RolloutAdvanced = 610 Info "rollout_advanced" "rollout advanced to its next stage";
     RolloutRolledBack = 612 Error "rollout_rolled_back" "rollout rolled back";
+    VersionLoaded = 613 Info "version_loaded" "engine has loaded the version of a rollout";
     VersionStopped = 614 Error "version_stopped" "version stopped on this node after consecutive errors";
+    OrderFailed = 620 Warning "order_failed" "order to an engine failed";
     ClaimOutcomeUnknown = 703 Error "claim_outcome_unknown" "outcome of a call that must not be repeated is unknown";
     ClaimsUnavailable = 704 Warning "claims_unavailable" "claims cannot be recorded; new ones are refused";
     BillUnprotected = 801 Warning "bill_unprotected" "bill has no copy at a peer until its flush";
--- a/src/node.rs
+++ b/src/node.rs
@@ -24,6 +24,7 @@
     node_replicas, node_rollout, node_view, peer_client, peer_handshake, peer_service, pin_turns,
     pool_queue, prefix_index, quality_table, quota_home, quota_lease, rating_client, records,
     refusal_reason, replica_subset, replica_table, retry_budget, session_table, token_index,
+    weight_client,
 };
 
 /// Time between two looks at whether a shutdown is complete.
@@ -61,6 +62,8 @@
     pub list: instance_list::ListClient,
     /// Answer-rating service, where there is one.
     pub rating: Option<Arc<dyn rating_client::RatingService>>,
+    /// Weight store, where there is one; without it no loads are ordered.
+    pub weights: Option<weight_client::WeightClient>,
     /// Log.
     pub logger: slog::Logger,
 }
@@ -308,6 +311,7 @@
             tokio::spawn(Arc::clone(self).run_quota()),
             tokio::spawn(Arc::clone(self).run_queues()),
             tokio::spawn(Arc::clone(self).run_rollouts()),
+            tokio::spawn(Arc::clone(self).run_orders()),
             tokio::spawn(Arc::clone(self).run_bills()),
             tokio::spawn(Arc::clone(self).run_claims()),
         ];
--- a/src/node_rollout.rs
+++ b/src/node_rollout.rs
@@ -14,8 +14,9 @@
 
 use crate::event_catalogue::LogEvent;
 use crate::{
-    chat_job, config_snapshot, ids, kv_store, member_choice, node, node_config, peer_message,
-    records, rollout_evidence, rollout_holder, rollout_stage,
+    chat_job, config_snapshot, ids, kv_store, member_choice, node, node_config, node_orders,
+    peer_message, records, replica_table, rollout_evidence, rollout_holder, rollout_loads,
+    rollout_stage,
 };
 
 /// Time between two reports of evidence.
@@ -49,6 +50,10 @@
 pub struct RolloutView {
     /// States as the holder last wrote them.
     pub states: ArcSwap<peer_message::RolloutStates>,
+    /// Role of the holder, while this node has it.
+    pub role: Mutex<Option<rollout_holder::HolderRole>>,
+    /// Loads that engines have shown to this node as holder.
+    pub shown: Mutex<node_orders::ShownLoads>,
     /// Versions that this node stopped by itself.
     pub stops: Mutex<rollout_stage::LocalStops>,
     /// Evidence that has not been sent on.
@@ -57,15 +62,22 @@
 }
 
 impl RolloutView {
-    /// Version that a new session prefers.
+    /// Version that a new session prefers; the old one while no replica of the new one is listed.
     pub fn preferred(
         &self,
         snapshot: &config_snapshot::ConfigSnapshot,
+        table: &replica_table::ReplicaTable,
         model: &str,
         session: &str,
     ) -> Option<ids::VersionName> {
         let (states, stops) = (self.states.load(), self.stops.lock());
-        rollout_stage::preferred_version(snapshot, &states, &stops, model, session)
+        let version = rollout_stage::preferred_version(snapshot, &states, &stops, model, session)?;
+        let pool = replica_table::ReplicaPool::Version(model.into(), version.clone());
+        if !table.pool(&pool).is_empty() {
+            return Some(version);
+        }
+        let rollout = snapshot.rollouts.values().find(|rollout| &*rollout.model == model);
+        Some(rollout.map_or(version, |rollout| rollout.from.clone()))
     }
 
     /// Adds evidence that a node sent; false when it is a repetition.
@@ -142,6 +154,22 @@
         (block, stopped)
     }
 
+    /// Whether engines are still to load the version for the present stage of a rollout.
+    fn loads_missing(
+        &self,
+        record: &records::rollout::RolloutRecord,
+        state: &rollout_stage::RolloutState,
+    ) -> bool {
+        let (table, shown) = (self.replicas.load(), self.rollouts.shown.lock());
+        rollout_loads::missing_rows(record, state, &table).any(|row| {
+            !shown.contains(&node_orders::LoadOrder {
+                replica: row.name.clone(),
+                model: record.model.clone(),
+                version: record.to.clone(),
+            })
+        })
+    }
+
     /// Whether a version's answers are evidence for a rollout.
     pub fn under_rollout(&self, target: &chat_job::VersionTarget) -> bool {
         let snapshot = self.snapshot.load();
@@ -190,6 +218,7 @@
                 _ => {}
             }
         }
+        *self.rollouts.role.lock() = holder.role();
         match holder.role() {
             Some(role) => {
                 held.step_all(self, holder, role.token, &snapshot).await;
@@ -306,7 +335,10 @@
         let (block, stopped) = node.take_evidence(record);
         let tick = rollout_stage::RolloutTick { elapsed, block, stopped_nodes: stopped.len() };
         let to_active = node.snapshot.load().version_active(&record.model, &record.to);
-        let decided = holder.step(record, to_active, &tick, stored).await;
+        let mut record = record.clone();
+        // Sessions of the next stage need the engines of this one.
+        record.paused |= node.loads_missing(&record, &stored.state);
+        let decided = holder.step(&record, to_active, &tick, stored).await;
         match decided {
             Ok(rollout_stage::RolloutDecision::Hold) => {}
             Ok(decision) => {
--- a/src/record_fields.rs
+++ b/src/record_fields.rs
@@ -181,6 +181,7 @@
     let max_error_rise = reader.number("max_error_rise", SHARE_RANGE);
     let max_quality_fall = reader.number("max_quality_fall", SHARE_RANGE);
     let paused = reader.flag_or("paused", false);
+    let replicas = reader.optional_names("replicas");
     Some(rollout::RolloutRecord {
         name: name?,
         model: model?,
@@ -192,6 +193,7 @@
         max_error_rise: max_error_rise?,
         max_quality_fall: max_quality_fall?,
         paused: paused?,
+        replicas: replicas?.unwrap_or_default(),
     })
 }
 
--- a/src/records/rollout.rs
+++ b/src/records/rollout.rs
@@ -27,4 +27,7 @@
     pub max_quality_fall: f64,
     /// Whether operators hold it at its stage.
     pub paused: bool,
+    /// Engines that are to load the new version, in the order in which they do.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub replicas: Vec<ids::ReplicaName>,
 }
--- a/src/standins/engine.rs
+++ b/src/standins/engine.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,8 +14,8 @@
 use salvo::prelude::{Depot, Request, Response, Router, StatusCode, handler};
 use serde_json::{Value, json};
 
-use crate::standins::{prefix_cache, rating};
-use crate::{engine_client, prefix_index};
+use crate::standins::{prefix_cache, rating, weights};
+use crate::{engine_client, engine_control, prefix_index};
 
 /// First word of an answer that meets the quality wanted.
 pub const GOOD_MARK: &str = "good:";
@@ -72,6 +72,10 @@
     pub poor: bool,
     /// Requests of others that take up room.
     pub busy: u32,
+    /// Orders to come that take effect without an answer.
+    pub lose_orders: u32,
+    /// Time after which an ordered version is served.
+    pub load_ms: u64,
     /// Faults of the published cache events.
     pub events: prefix_cache::EventFaults,
 }
@@ -119,6 +123,12 @@
     pub refused: Arc<Mutex<Vec<RefusedRequest>>>,
     /// Model and version that are served now; at first those of the options.
     pub served: Arc<Mutex<ServedVersion>>,
+    /// Whether orders with an old fencing token are refused.
+    pub checks_fencing: Arc<AtomicBool>,
+    /// Orders that were obeyed.
+    pub orders: Arc<Mutex<Vec<engine_control::EngineOrder>>>,
+    /// Store from which versions are loaded, where there is one.
+    pub weights: Arc<Mutex<Option<weights::WeightStandin>>>,
     /// Cache of prompt prefixes.
     pub cache: Arc<Mutex<prefix_cache::PrefixCache>>,
     /// Requests refused because they name another model or version.
@@ -139,6 +149,9 @@
             served: Arc::new(Mutex::new(served)),
             foreign: Arc::default(),
             cache: Arc::default(),
+            checks_fencing: Arc::new(AtomicBool::new(true)),
+            orders: Arc::default(),
+            weights: Arc::default(),
             options: Arc::new(options),
             faults: Arc::default(),
             received: Arc::default(),
@@ -189,10 +202,58 @@
         Router::new()
             .push(Router::with_path("v1/chat/completions").post(route(EngineRoute::Generate)))
             .push(Router::with_path("v1/requests/{id}").delete(route(EngineRoute::Cancel)))
+            .push(Router::with_path("orders").post(route(EngineRoute::Order)))
+            .push(Router::with_path("state").get(route(EngineRoute::State)))
             .push(Router::with_path("cache-events").get(route(EngineRoute::CacheEvents)))
             .push(Router::with_path("load").get(route(EngineRoute::Load)))
     }
 
+    /// What is loaded, as the command interface tells it.
+    pub fn state(&self) -> engine_control::EngineState {
+        let served = self.served.lock().clone();
+        engine_control::EngineState {
+            model: served.model.into(),
+            version: served.version.into(),
+            token: self.orders.lock().last().map_or(0, |order| order.token),
+            ..Default::default()
+        }
+    }
+
+    async fn obey(&self, request: &mut Request, response: &mut Response) {
+        let Ok(order) = request.parse_json::<engine_control::EngineOrder>().await else {
+            response.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let newest = self.orders.lock().iter().map(|order| order.token).max().unwrap_or(0);
+        if self.checks_fencing.load(Ordering::SeqCst) && order.token < newest {
+            response.status_code(StatusCode::CONFLICT);
+            return;
+        }
+        if self.weights.lock().as_ref().is_some_and(|store| !store.load()) {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        }
+        self.orders.lock().push(order.clone());
+        let (lost, load_ms) = {
+            let mut faults = self.faults.lock();
+            let lost = faults.lose_orders > 0;
+            faults.lose_orders = faults.lose_orders.saturating_sub(1);
+            (lost, faults.load_ms)
+        };
+        if let engine_control::EngineCommand::LoadVersion { model, version } = order.command {
+            let engine = self.clone();
+            let load = async move {
+                tokio::time::sleep(Duration::from_millis(load_ms)).await;
+                engine.reassign(&model, &version);
+                engine.answers.store(0, Ordering::SeqCst);
+            };
+            if load_ms == 0 { load.await } else { drop(tokio::spawn(load)) }
+        }
+        if lost {
+            response.status_code(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+    }
+
     fn publish(&self, request: &mut Request, response: &mut Response) {
         let faults = self.faults.lock().events.clone();
         if faults.off {
@@ -439,6 +500,8 @@
     Cancel,
     Load,
     CacheEvents,
+    Order,
+    State,
 }
 
 struct EngineHandler {
@@ -457,6 +520,8 @@
                 engine.cancelled.lock().insert(id, true);
                 response.status_code(StatusCode::NO_CONTENT);
             }
+            EngineRoute::Order => engine.obey(request, response).await,
+            EngineRoute::State => response.render(salvo::writing::Json(engine.state())),
             EngineRoute::CacheEvents => engine.publish(request, response),
             EngineRoute::Load => response.render(salvo::writing::Json(json!({
                 "requests": engine.running.load(Ordering::SeqCst),
--- a/src/standins/list.rs
+++ b/src/standins/list.rs
@@ -52,6 +52,17 @@
         }
     }
 
+    /// Lists an engine as one that ignores fencing tokens.
+    pub fn ignore_fencing(&self, name: &str) {
+        let mut instances = self.instances.lock();
+        let found = instances.iter_mut().find(|instance| &*instance.name == name);
+        if let Some(instance_list::InstanceRole::Engine { checks_fencing, .. }) =
+            found.map(|instance| &mut instance.role)
+        {
+            *checks_fencing = false;
+        }
+    }
+
     /// Whether an instance is listed.
     pub fn lists(&self, name: &str) -> bool {
         self.instances.lock().iter().any(|instance| &*instance.name == name)
--- a/src/standins/platform.rs
+++ b/src/standins/platform.rs
@@ -79,6 +79,7 @@
         checks_fencing: bool,
     ) -> engine::EngineStandin {
         let engine = engine::EngineStandin::new(options, warm);
+        engine.checks_fencing.store(checks_fencing, std::sync::atomic::Ordering::SeqCst);
         let (address, task) = server::serve(engine.router()).await;
         self.tasks.push(task);
         self.list_instance(
--- a/src/standins/weights.rs
+++ b/src/standins/weights.rs
@@ -16,6 +16,8 @@
     pub loads_per_s: f64,
     /// Every call is refused.
     pub outage: bool,
+    /// Every load is refused, as when others use up the rate.
+    pub exhausted: bool,
     /// Loads that were started.
     pub loads: u64,
     /// Loads that were refused as too many.
@@ -33,8 +35,14 @@
 impl WeightStandin {
     /// Store with a limit.
     pub fn new(loads_per_s: f64) -> Self {
-        let table =
-            WeightTable { loads_per_s, outage: false, loads: 0, refused: 0, last_load: None };
+        let table = WeightTable {
+            loads_per_s,
+            outage: false,
+            exhausted: false,
+            loads: 0,
+            refused: 0,
+            last_load: None,
+        };
         Self { table: Arc::new(Mutex::new(table)) }
     }
 
@@ -43,7 +51,7 @@
         let mut table = self.table.lock();
         let interval = Duration::from_secs_f64(1.0 / table.loads_per_s);
         let early = table.last_load.is_some_and(|last| last.elapsed() < interval);
-        if early || table.outage {
+        if early || table.outage || table.exhausted {
             table.refused += 1;
             return false;
         }
--- a/tests/fault_world/platform_world.rs
+++ b/tests/fault_world/platform_world.rs
@@ -359,5 +359,6 @@
         max_error_rise: 0.1,
         max_quality_fall: 0.5,
         paused: false,
+        replicas: Vec::new(),
     })
 }
--- a/tests/peer_contract.rs
+++ b/tests/peer_contract.rs
@@ -219,6 +219,7 @@
         max_error_rise: 0.1,
         max_quality_fall: 0.1,
         paused: false,
+        replicas: Vec::new(),
     };
     [("r".into(), RolloutState::new(&record))].into()
 }
--- a/tests/record_reader.rs
+++ b/tests/record_reader.rs
@@ -160,8 +160,10 @@
 
 fn rollout() -> impl Strategy<Value = RoutingRecord> {
     let stages = prop::collection::vec(share(), 0..4);
-    (name(), name(), name(), name(), stages, 0u64..9, share(), any::<bool>()).prop_map(
-        |(name, model, from, to, stages, number, share, paused)| {
+    let replicas = prop::collection::vec(name(), 0..4);
+    let flags = (any::<bool>(), replicas);
+    (name(), name(), name(), name(), stages, 0u64..9, share(), flags).prop_map(
+        |(name, model, from, to, stages, number, share, (paused, replicas))| {
             RoutingRecord::Rollout(RolloutRecord {
                 name,
                 model,
@@ -173,6 +175,7 @@
                 max_error_rise: share,
                 max_quality_fall: share,
                 paused,
+                replicas,
             })
         },
     )
--- a/tests/rollout_stop.rs
+++ b/tests/rollout_stop.rs
@@ -40,6 +40,7 @@
         max_error_rise: 0.2,
         max_quality_fall: 0.9,
         paused: false,
+        replicas: Vec::new(),
     };
     path.apply(vec![RoutingRecord::Rollout(rollout)]).await;
     let rolled_back = |node: &yuccareel::node::Node| {
--- a/tests/whole_path/mod.rs
+++ b/tests/whole_path/mod.rs
@@ -82,6 +82,11 @@
 
 /// Customer, one model with two versions, one service; two engines a version.
 pub async fn start() -> WholePath {
+    start_with(|_| {}).await
+}
+
+/// The same with other settings of the node.
+pub async fn start_with(adjust: impl Fn(&mut settings::Settings)) -> WholePath {
     let mut platform = platform::PlatformStandin::start().await;
     for (name, data_centre, version) in
         [("e1", "dc-a", "v1"), ("e2", "dc-b", "v1"), ("e3", "dc-a", "v2"), ("e4", "dc-b", "v2")]
@@ -91,9 +96,9 @@
     let booking = service::ServiceStandin::default();
     platform.add_service("dc-a", "hire-desk", "h1", booking.clone()).await;
     platform.add_service("dc-b", "hire-desk", "h2", booking).await;
-    let served = daemon::ServedNode::start(&settings(&platform, "entry-1", "dc-a"), logger(), None)
-        .await
-        .unwrap();
+    let mut settings = settings(&platform, "entry-1", "dc-a");
+    adjust(&mut settings);
+    let served = daemon::ServedNode::start(&settings, logger(), None).await.unwrap();
     let path = WholePath { platform, address: served.address, served: vec![served] };
     path.apply(test_records()).await;
     path
