Drop idle pins and the state of removed rollouts

`SessionTable::expire` was never called, the states of removed rollouts stayed under `rollout/state/`, and their evidence and local stops stayed at every node.

The upkeep of each second expires pins and drops evidence and local stops of rollouts that are gone. The holder deletes their states when the set of rollouts changes; the transaction compares the holder's key, the state and the absence of the record, so that a holder which does not know of a new rollout cannot delete its state. The holder of the last rollout deletes its state and resigns.

--- a/src/node_replicas.rs
+++ b/src/node_replicas.rs
@@ -60,8 +60,8 @@
         }
     }
 
-    /// Drops what is kept for replicas and customers that are gone; thousands of instances are
-    /// replaced in a day.
+    /// Drops idle pins and what is kept for replicas, customers and rollouts that are gone;
+    /// thousands of instances are replaced in a day.
     fn forget_gone(&self) {
         let (snapshot, table) = (self.snapshot.load(), self.replicas.load());
         let tables = quota_home::QuotaTables { snapshot: &snapshot, table: &table };
@@ -71,6 +71,8 @@
         self.retries.lock().retain(customer, replica);
         self.learned.lock().retain(|name, _| replica(name));
         self.prefixes.lock().retain(replica);
+        self.rollouts.retain(&snapshot);
+        self.sessions.lock().expire(self.clock());
     }
 
     /// Lets replicas take work again at whose address another server was found before the
--- a/src/node_rollout.rs
+++ b/src/node_rollout.rs
@@ -80,6 +80,20 @@
         Some(rollout.map_or(version, |rollout| rollout.from.clone()))
     }
 
+    /// Drops the evidence and local stops of rollouts that were removed.
+    pub fn retain(&self, snapshot: &config_snapshot::ConfigSnapshot) {
+        self.collectors.lock().retain(|name, _| snapshot.rollouts.contains_key(name));
+        self.stops.lock().retain(|model, version| {
+            let mut rollouts = snapshot.rollouts.values();
+            rollouts.any(|rollout| *rollout.model == *model && *rollout.to == *version)
+        });
+    }
+
+    /// Names of the rollouts whose evidence is kept.
+    pub fn collected(&self) -> Vec<ids::RolloutName> {
+        self.collectors.lock().keys().cloned().collect()
+    }
+
     /// Adds evidence that a node sent; false when it is a repetition.
     pub fn record(&self, report: &rollout_evidence::EvidenceReport) -> bool {
         let mut collectors = self.collectors.lock();
@@ -204,6 +218,14 @@
         let snapshot = self.snapshot.load_full();
         if snapshot.rollouts.is_empty() {
             self.rollouts.states.store(Arc::default());
+            if holder.role().is_some() {
+                // Without the role the states are left to the holder of the next rollout.
+                let deleted = holder.delete_removed(&snapshot.rollouts).await;
+                if deleted.is_ok() && holder.resign().await.is_ok() {
+                    held.clear();
+                }
+            }
+            *self.rollouts.role.lock() = holder.role();
             return;
         }
         if self.watches() {
@@ -286,6 +308,8 @@
 struct HeldRollouts {
     token: ids::FencingToken,
     stored: BTreeMap<ids::RolloutName, rollout_holder::StoredState>,
+    /// Rollouts at the last deletion of the states of all others.
+    cleaned: Option<BTreeSet<ids::RolloutName>>,
     last_tick: Option<Instant>,
 }
 
@@ -313,6 +337,12 @@
         let elapsed = self.last_tick.map_or(Duration::ZERO, |last| now.duration_since(last));
         self.last_tick = Some(now);
         self.stored.retain(|name, _| snapshot.rollouts.contains_key(name));
+        let names: BTreeSet<_> = snapshot.rollouts.keys().cloned().collect();
+        if self.cleaned.as_ref() != Some(&names)
+            && holder.delete_removed(&snapshot.rollouts).await.is_ok()
+        {
+            self.cleaned = Some(names);
+        }
         for record in snapshot.rollouts.values() {
             self.step(node, holder, record, elapsed).await;
         }
--- a/src/rollout_holder.rs
+++ b/src/rollout_holder.rs
@@ -5,16 +5,19 @@
 //! that a holder which was paused past its lease cannot write, whatever its clock
 //! says. During an outage nothing is written and the stages stay where they are.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::time::Instant;
 
-use crate::{ids, kv_store, quality_table, records, rollout_stage};
+use crate::{config_keys, ids, kv_store, quality_table, records, rollout_stage};
 
 /// Key of the holder.
 pub const HOLDER_KEY: &str = "rollout/holder";
+/// Prefix of the keys of the states.
+const STATE_PREFIX: &str = "rollout/state/";
 /// Time to live of the holder's lease, in seconds.
 pub const LEASE_S: i64 = 10;
 /// Time between two renewals of the lease.
@@ -86,7 +89,7 @@
 
 /// Key of the state of a rollout.
 pub fn state_key(rollout: &str) -> String {
-    format!("rollout/state/{rollout}")
+    format!("{STATE_PREFIX}{rollout}")
 }
 
 impl RolloutHolder {
@@ -257,6 +260,44 @@
         }
     }
 
+    /// Deletes the states of rollouts whose records were removed.
+    ///
+    /// Each deletion compares the record's key as well, so that a holder which does not know of a
+    /// new rollout yet cannot delete its state. A record that was added again keeps its state
+    /// only when it is added before the deletion.
+    ///
+    /// # Errors
+    /// `RoleLost` when the fence holds a deletion back, `Store` when the service fails.
+    pub async fn delete_removed(
+        &mut self,
+        rollouts: &BTreeMap<ids::RolloutName, Arc<records::rollout::RolloutRecord>>,
+    ) -> Result<(), HolderError> {
+        let role = self.role.ok_or(HolderError::RoleLost)?;
+        let entries = self.store.range(STATE_PREFIX).await?.entries;
+        for entry in entries {
+            let name = entry.key.strip_prefix(STATE_PREFIX).unwrap_or_default();
+            if rollouts.contains_key(name) {
+                continue;
+            }
+            let record = config_keys::record_key("rollout", name);
+            let transaction = kv_store::KvTransaction {
+                compares: vec![
+                    kv_store::KvCompare::CreateRevision(HOLDER_KEY.to_owned(), role.token),
+                    kv_store::KvCompare::ModRevision(entry.key.clone(), entry.mod_revision),
+                    kv_store::KvCompare::ModRevision(record, 0),
+                ],
+                operations: vec![kv_store::KvOperation::Delete(entry.key.clone())],
+            };
+            let outcome = self.store.commit(transaction).await?;
+            if !outcome.committed
+                && let HolderError::RoleLost = self.fence_error(&role, &outcome.current, entry.key)
+            {
+                return Err(HolderError::RoleLost);
+            }
+        }
+        Ok(())
+    }
+
     /// Writes one part of the quality summary under the fence; called once a second, part by part.
     ///
     /// The next round writes every part again, so that a lost answer needs no read.
--- a/src/rollout_stage.rs
+++ b/src/rollout_stage.rs
@@ -245,8 +245,8 @@
         })
     }
 
-    /// Forgets a version, when its rollout has ended or was started again.
-    pub fn clear(&mut self, model: &ids::ModelName, version: &ids::VersionName) {
-        self.errors.remove(&(model.clone(), version.clone()));
+    /// Forgets the versions that no rollout is about any more.
+    pub fn retain(&mut self, rolled_out: impl Fn(&str, &str) -> bool) {
+        self.errors.retain(|(model, version), _| rolled_out(model, version));
     }
 }
--- a/src/session_table.rs
+++ b/src/session_table.rs
@@ -81,6 +81,7 @@
 #[derive(Clone, Debug)]
 pub struct SessionTable {
     capacity: usize,
+    idle: Duration,
     rows: HashMap<SessionModel, PinRow>,
     uses: BTreeMap<u64, SessionModel>,
     next_use: u64,
@@ -95,13 +96,20 @@
 impl SessionTable {
     /// Table with room for a number of pins, at least one.
     pub fn with_capacity(capacity: usize) -> Self {
-        Self { capacity: capacity.max(1), rows: HashMap::new(), uses: BTreeMap::new(), next_use: 0 }
+        Self::with_limits(capacity, PIN_IDLE)
+    }
+
+    /// Table with room for a number of pins, at least one, that are dropped after a time without
+    /// use.
+    pub fn with_limits(capacity: usize, idle: Duration) -> Self {
+        let (rows, uses) = (HashMap::new(), BTreeMap::new());
+        Self { capacity: capacity.max(1), idle, rows, uses, next_use: 0 }
     }
 
     /// Pin of a session that is not idle.
     pub fn get(&self, key: &SessionModel, now: Duration) -> Option<&SessionPin> {
         let row = self.rows.get(key)?;
-        (now.saturating_sub(row.used_at) < PIN_IDLE).then_some(&row.pin)
+        (now.saturating_sub(row.used_at) < self.idle).then_some(&row.pin)
     }
 
     /// Version of a session; pins it when it is new and moves it when its version may not run.
@@ -159,7 +167,7 @@
     pub fn expire(&mut self, now: Duration) {
         while let Some((&number, key)) = self.uses.first_key_value() {
             let idle =
-                self.rows.get(key).is_none_or(|row| now.saturating_sub(row.used_at) >= PIN_IDLE);
+                self.rows.get(key).is_none_or(|row| now.saturating_sub(row.used_at) >= self.idle);
             if !idle {
                 break;
             }
--- a/tests/rollout_orders.rs
+++ b/tests/rollout_orders.rs
@@ -47,17 +47,11 @@
         let state = model::VersionState::Active;
         record.versions.push(model::ModelVersion { name: "v3".into(), state });
         let rollout = rollout::RolloutRecord {
-            name: "small-v3".into(),
-            model: "small".into(),
-            from: "v1".into(),
             to: "v3".into(),
-            stages: vec![0.5, 1.0],
             stage_dwell_s: 1,
             stage_min_requests: 1,
-            max_error_rise: 0.2,
-            max_quality_fall: 0.9,
-            paused: false,
             replicas: NAMED.map(Into::into).to_vec(),
+            ..whole_path::rollout("small-v3", "small")
         };
         self.path.apply(vec![RoutingRecord::Model(record), RoutingRecord::Rollout(rollout)]).await;
     }
--- a/tests/rollout_stop.rs
+++ b/tests/rollout_stop.rs
@@ -7,7 +7,6 @@
 use serde_json::json;
 use yuccareel::daemon::ServedNode;
 use yuccareel::records::RoutingRecord;
-use yuccareel::records::rollout::RolloutRecord;
 use yuccareel::rollout_stage::RolloutPhase;
 
 /// Guards against evidence that does not reach the holder, or a decision that does not reach
@@ -29,19 +28,7 @@
     {
         placed.engine.faults.lock().errors = true;
     }
-    let rollout = RolloutRecord {
-        name: "small-v2".into(),
-        model: "small".into(),
-        from: "v1".into(),
-        to: "v2".into(),
-        stages: vec![0.5, 1.0],
-        stage_dwell_s: 600,
-        stage_min_requests: 1_000_000,
-        max_error_rise: 0.2,
-        max_quality_fall: 0.9,
-        paused: false,
-        replicas: Vec::new(),
-    };
+    let rollout = whole_path::rollout("small-v2", "small");
     path.apply(vec![RoutingRecord::Rollout(rollout)]).await;
     let rolled_back = |node: &yuccareel::node::Node| {
         let states = node.rollouts.states.load();
--- a/tests/table_upkeep.rs
+++ b/tests/table_upkeep.rs
@@ -6,10 +6,12 @@
 
 use serde_json::json;
 use yuccareel::admission_queue::{QueueOutcome, QueuedRequest, RequestLane};
+use yuccareel::kv_client::prefix_end;
 use yuccareel::pool_queue::WaitingRequest;
 use yuccareel::prefix_index::CacheEvent;
 use yuccareel::records::RoutingRecord;
 use yuccareel::replica_table::ReplicaPool;
+use yuccareel::session_table::{SessionModel, SessionPin, SessionTable};
 
 async fn ask(path: &whole_path::WholePath) {
     let body = json!({ "model": "small", "messages": [{ "role": "user", "content": "hello" }] });
@@ -74,3 +76,40 @@
     path.wait(|node| !node.learned.lock().contains_key("e1")).await;
     path.wait(|node| node.prefixes.lock().last_event("e1").is_none()).await;
 }
+
+/// Guards against pins of sessions that ended long ago and are kept for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_pins_are_dropped() {
+    let path = whole_path::start().await;
+    let key = SessionModel { customer: "acme".into(), session: "s".into(), model: "small".into() };
+    let pin = SessionPin { version: "v1".into(), moves: 0 };
+    let mut table = SessionTable::with_limits(8, Duration::from_millis(100));
+    table.adopt(key, pin, path.node().clock());
+    *path.node().sessions.lock() = table;
+    path.wait(|node| node.sessions.lock().is_empty()).await;
+}
+
+/// Guards against states of removed rollouts that are kept for ever, in the key-value service and
+/// at nodes, and against the loss of the state of a rollout that stays.
+#[tokio::test(flavor = "multi_thread")]
+async fn states_of_removed_rollouts_are_deleted() {
+    let path = whole_path::start().await;
+    let rollout = |name, model| RoutingRecord::Rollout(whole_path::rollout(name, model));
+    let mut large = (*path.node().snapshot.load().models["small"]).clone();
+    large.name = "large".into();
+    path.apply(vec![RoutingRecord::Model(large)]).await;
+    path.apply(vec![rollout("first", "small"), rollout("second", "large")]).await;
+    let stored = || {
+        let mut table = path.platform.kv.table.lock();
+        let entries = table.range("rollout/state/", Some(&prefix_end("rollout/state/"))).entries;
+        entries.into_iter().map(|entry| entry.key).collect::<Vec<_>>()
+    };
+    path.wait(|_| stored().len() == 2).await;
+    path.wait(|node| node.rollouts.collected().len() == 2).await;
+    path.remove(vec![("rollout", "first")]).await;
+    path.wait(|_| stored() == ["rollout/state/second"]).await;
+    path.wait(|node| node.rollouts.collected() == ["second".into()]).await;
+    path.remove(vec![("rollout", "second")]).await;
+    path.wait(|_| stored().is_empty()).await;
+    path.wait(|node| node.rollouts.collected().is_empty()).await;
+}
--- a/tests/whole_path/mod.rs
+++ b/tests/whole_path/mod.rs
@@ -33,6 +33,16 @@
 
     /// Commits records by the ordinary path and waits until every node has them in effect.
     pub async fn apply(&self, puts: Vec<records::RoutingRecord>) {
+        self.change(puts, Vec::new()).await;
+    }
+
+    /// Removes records, given by kind and name, in the same way.
+    pub async fn remove(&self, records: Vec<(&str, &str)>) {
+        let removals = records.into_iter().map(|(kind, name)| (kind.to_owned(), name.into()));
+        self.change(Vec::new(), removals.collect()).await;
+    }
+
+    async fn change(&self, puts: Vec<records::RoutingRecord>, removals: Vec<(String, Arc<str>)>) {
         let store = config_store::ConfigStore::new(Arc::new(self.platform.kv.clone()));
         let (snapshot, _) = store.load_snapshot().await.unwrap();
         let apply = config_apply::ConfigApply {
@@ -41,7 +51,7 @@
             expected_sequence: None,
             written_at_ms: 0,
             puts: puts.into_iter().map(located).collect(),
-            removals: Vec::new(),
+            removals,
         };
         let outcome = store.apply(Arc::new(snapshot), &apply, &|| Ok(())).await.unwrap();
         let sequence = outcome.sequence();
@@ -200,3 +210,20 @@
         }),
     ]
 }
+
+/// Rollout of a model from `v1` to `v2` that evidence alone ends.
+pub fn rollout(name: &str, model: &str) -> records::rollout::RolloutRecord {
+    records::rollout::RolloutRecord {
+        name: name.into(),
+        model: model.into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        stages: vec![0.5, 1.0],
+        stage_dwell_s: 600,
+        stage_min_requests: 1_000_000,
+        max_error_rise: 0.2,
+        max_quality_fall: 0.9,
+        paused: false,
+        replicas: Vec::new(),
+    }
+}
