--- a/src/node.rs
+++ b/src/node.rs
@@ -24,7 +24,7 @@
     node_quota, node_replicas, node_rollout, node_view, peer_client, peer_handshake, peer_service,
     pin_turns, pool_queue, prefix_index, quality_table, quota_home, quota_lease, rating_client,
     records, refusal_reason, replica_subset, replica_table, retry_budget, session_table,
-    token_index,
+    token_index, weight_client,
 };
 
 /// Time between two looks at whether a shutdown is complete.
@@ -62,6 +62,8 @@
     pub list: instance_list::ListClient,
     /// Answer-rating service, where there is one.
     pub rating: Option<Arc<dyn rating_client::RatingService>>,
+    /// Weight store, where there is one; without it no loads are ordered.
+    pub weights: Option<weight_client::WeightClient>,
     /// Log.
     pub logger: slog::Logger,
 }
@@ -139,6 +141,8 @@
     pub rating_health: Mutex<rating_client::RatingHealth>,
     /// Cached prompt prefixes.
     pub prefixes: Mutex<prefix_index::PrefixIndex>,
+    /// Clock of the last prompt with prefixes, by pool.
+    pub prefix_uses: Mutex<HashMap<replica_table::ReplicaPool, Duration>>,
     /// Rollouts as this node knows them.
     pub rollouts: node_rollout::RolloutView,
     /// Bills of this instance.
@@ -218,6 +222,7 @@
                 quality: Mutex::default(),
                 rating_health: Mutex::default(),
                 prefixes: Mutex::default(),
+                prefix_uses: Mutex::default(),
                 rollouts: node_rollout::RolloutView::default(),
                 ledger: Arc::new(bill_ledger::BillLedger::new(
                     process.clone(),
@@ -302,9 +307,11 @@
             tokio::spawn(Arc::clone(self).run_configuration()),
             tokio::spawn(Arc::clone(self).run_members()),
             tokio::spawn(Arc::clone(self).run_replicas()),
+            tokio::spawn(Arc::clone(self).run_prefixes()),
             tokio::spawn(Arc::clone(self).run_quota()),
             tokio::spawn(Arc::clone(self).run_queues()),
             tokio::spawn(Arc::clone(self).run_rollouts()),
+            tokio::spawn(Arc::clone(self).run_orders()),
             tokio::spawn(Arc::clone(self).run_bills()),
             tokio::spawn(Arc::clone(self).run_claims()),
         ];
--- a/src/node_replicas.rs
+++ b/src/node_replicas.rs
@@ -53,14 +53,15 @@
                 () = self.stopped.cancelled() => return,
                 _ = ticks.tick() => {
                     self.forget_gone();
+                    self.readmit_replicas();
                     self.read_reports().await;
                 }
             }
         }
     }
 
-    /// Drops what is kept for replicas and customers that are gone; thousands of instances are
-    /// replaced in a day.
+    /// Drops idle pins and what is kept for replicas, customers and rollouts that are gone;
+    /// thousands of instances are replaced in a day.
     fn forget_gone(&self) {
         let (snapshot, table) = (self.snapshot.load(), self.replicas.load());
         let tables = quota_home::QuotaTables { snapshot: &snapshot, table: &table };
@@ -69,6 +70,19 @@
         let customer = |name: &str| snapshot.customers.contains_key(name);
         self.retries.lock().retain(customer, replica);
         self.learned.lock().retain(|name, _| replica(name));
+        self.prefixes.lock().retain(replica);
+        self.rollouts.retain(&snapshot);
+        self.sessions.lock().expire(self.clock());
+    }
+
+    /// Lets replicas take work again at whose address another server was found before the
+    /// instance list was last read.
+    fn readmit_replicas(&self) {
+        let Some(read_at) = self.listed.lock().read_at else { return };
+        let routes = self.routes.load();
+        for member in routes.subset.all() {
+            routes.table.row(member.index).clear_foreign(read_at);
+        }
     }
 
     async fn read_reports(&self) {
@@ -269,9 +283,23 @@
     ) {
         metrics::counter!("yuccareel_attempts_failed_total", "reason" => error.reason.code())
             .increment(1);
-        if error.reason == retry_reason::RetryReason::BackendCold {
-            self.report_sign(&dispatch.row.name, cold_start::WarmupSign::Refused);
+        match error.reason {
+            retry_reason::RetryReason::BackendCold => {
+                self.report_sign(&dispatch.row.name, cold_start::WarmupSign::Refused);
+            }
+            retry_reason::RetryReason::VersionNotServed => self.note_foreign(&dispatch.row),
+            _ => {}
+        }
+    }
+
+    /// Leaves out a replica at whose address another server answers.
+    fn note_foreign(&self, row: &replica_table::ReplicaRow) {
+        if !row.mark_foreign(self.clock()) {
+            return;
         }
+        self.prefixes.lock().forget(&row.name);
+        let fields = slog::o!("replica" => row.name.to_string(), "address" => row.address);
+        self.emit(LogEvent::ReplicaForeign, fields);
     }
 }
 
--- a/src/standins/engine.rs
+++ b/src/standins/engine.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +14,8 @@
 use salvo::prelude::{Depot, Request, Response, Router, StatusCode, handler};
 use serde_json::{Value, json};
 
-use crate::standins::rating;
+use crate::standins::{prefix_cache, rating, weights};
+use crate::{engine_client, engine_control, prefix_index};
 
 /// First word of an answer that meets the quality wanted.
 pub const GOOD_MARK: &str = "good:";
@@ -44,6 +45,15 @@
     pub warm_after: u32,
 }
 
+/// Model and version that an engine serves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServedVersion {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: String,
+}
+
 /// Fault switches.
 #[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
 #[serde(default)]
@@ -62,6 +72,12 @@
     pub poor: bool,
     /// Requests of others that take up room.
     pub busy: u32,
+    /// Orders to come that take effect without an answer.
+    pub lose_orders: u32,
+    /// Time after which an ordered version is served.
+    pub load_ms: u64,
+    /// Faults of the published cache events.
+    pub events: prefix_cache::EventFaults,
 }
 
 /// Request as the engine received it.
@@ -105,6 +121,18 @@
     pub received: Arc<Mutex<Vec<ReceivedRequest>>>,
     /// Requests refused for want of room.
     pub refused: Arc<Mutex<Vec<RefusedRequest>>>,
+    /// Model and version that are served now; at first those of the options.
+    pub served: Arc<Mutex<ServedVersion>>,
+    /// Whether orders with an old fencing token are refused.
+    pub checks_fencing: Arc<AtomicBool>,
+    /// Orders that were obeyed.
+    pub orders: Arc<Mutex<Vec<engine_control::EngineOrder>>>,
+    /// Store from which versions are loaded, where there is one.
+    pub weights: Arc<Mutex<Option<weights::WeightStandin>>>,
+    /// Cache of prompt prefixes.
+    pub cache: Arc<Mutex<prefix_cache::PrefixCache>>,
+    /// Requests refused because they name another model or version.
+    pub foreign: Arc<AtomicU32>,
     running: Arc<AtomicU32>,
     answers: Arc<AtomicU32>,
     boot: Arc<Mutex<u32>>,
@@ -115,7 +143,15 @@
     /// Engine that starts warm or cold.
     pub fn new(options: EngineOptions, warm: bool) -> Self {
         let answers = if warm { options.warm_after } else { 0 };
+        let served =
+            ServedVersion { model: options.model.clone(), version: options.version.clone() };
         Self {
+            served: Arc::new(Mutex::new(served)),
+            foreign: Arc::default(),
+            cache: Arc::default(),
+            checks_fencing: Arc::new(AtomicBool::new(true)),
+            orders: Arc::default(),
+            weights: Arc::default(),
             options: Arc::new(options),
             faults: Arc::default(),
             received: Arc::default(),
@@ -130,7 +166,19 @@
     /// Turns the engine cold without warning.
     pub fn turn_cold(&self) {
         self.answers.store(0, Ordering::SeqCst);
+        self.restart();
+    }
+
+    /// Gives the address to an engine with another version, as warm as this one.
+    pub fn reassign(&self, model: &str, version: &str) {
+        *self.served.lock() =
+            ServedVersion { model: model.to_owned(), version: version.to_owned() };
+        self.restart();
+    }
+
+    fn restart(&self) {
         *self.boot.lock() += 1;
+        self.cache.lock().restart();
     }
 
     /// Whether the engine is cold.
@@ -154,9 +202,74 @@
         Router::new()
             .push(Router::with_path("v1/chat/completions").post(route(EngineRoute::Generate)))
             .push(Router::with_path("v1/requests/{id}").delete(route(EngineRoute::Cancel)))
+            .push(Router::with_path("orders").post(route(EngineRoute::Order)))
+            .push(Router::with_path("state").get(route(EngineRoute::State)))
+            .push(Router::with_path("cache-events").get(route(EngineRoute::CacheEvents)))
             .push(Router::with_path("load").get(route(EngineRoute::Load)))
     }
 
+    /// What is loaded, as the command interface tells it.
+    pub fn state(&self) -> engine_control::EngineState {
+        let served = self.served.lock().clone();
+        engine_control::EngineState {
+            model: served.model.into(),
+            version: served.version.into(),
+            token: self.orders.lock().last().map_or(0, |order| order.token),
+            ..Default::default()
+        }
+    }
+
+    async fn obey(&self, request: &mut Request, response: &mut Response) {
+        let Ok(order) = request.parse_json::<engine_control::EngineOrder>().await else {
+            response.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let newest = self.orders.lock().iter().map(|order| order.token).max().unwrap_or(0);
+        if self.checks_fencing.load(Ordering::SeqCst) && order.token < newest {
+            response.status_code(StatusCode::CONFLICT);
+            return;
+        }
+        if self.weights.lock().as_ref().is_some_and(|store| !store.load()) {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        }
+        self.orders.lock().push(order.clone());
+        let (lost, load_ms) = {
+            let mut faults = self.faults.lock();
+            let lost = faults.lose_orders > 0;
+            faults.lose_orders = faults.lose_orders.saturating_sub(1);
+            (lost, faults.load_ms)
+        };
+        if let engine_control::EngineCommand::LoadVersion { model, version } = order.command {
+            let engine = self.clone();
+            let load = async move {
+                tokio::time::sleep(Duration::from_millis(load_ms)).await;
+                engine.reassign(&model, &version);
+                engine.answers.store(0, Ordering::SeqCst);
+            };
+            if load_ms == 0 { load.await } else { drop(tokio::spawn(load)) }
+        }
+        if lost {
+            response.status_code(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+    }
+
+    fn publish(&self, request: &mut Request, response: &mut Response) {
+        let faults = self.faults.lock().events.clone();
+        if faults.off {
+            response.status_code(StatusCode::NOT_FOUND);
+            return;
+        }
+        let (boot, number) = (self.boot(), |name| request.query::<u64>(name).unwrap_or_default());
+        let same_boot = request.query::<String>("boot").is_some_and(|known| known == boot);
+        let after = if same_boot { number("after") } else { 0 };
+        let events = self.cache.lock().events(after, number("prefixes") as usize, &faults);
+        let published = engine_client::EngineCacheEvents { boot: boot.into(), events };
+        let body = serde_json::to_string(&published).unwrap_or_default();
+        self.cache.lock().published_bytes += body.len() as u64;
+        response.render(salvo::writing::Text::Json(body));
+    }
+
     fn limit(&self) -> u32 {
         if self.cold() { self.options.cold_concurrency } else { self.options.warm_concurrency }
     }
@@ -169,6 +282,12 @@
             refuse(response, StatusCode::BAD_REQUEST, true);
             return;
         };
+        let served = self.served.lock().clone();
+        if body["model"] != served.model || body["version"] != served.version {
+            self.foreign.fetch_add(1, Ordering::SeqCst);
+            refuse(response, StatusCode::NOT_FOUND, true);
+            return;
+        }
         let Some(slot) = self.admit() else {
             let cold = self.cold();
             self.refused.lock().push(RefusedRequest {
@@ -199,7 +318,7 @@
             std::future::pending::<()>().await;
         }
         response.headers_mut().insert("content-type", "text/event-stream".parse().expect("static"));
-        response.stream(self.answer(id, &body, resume, fault, slot));
+        response.stream(self.answer(id, &body, served, resume, fault, slot));
     }
 
     fn take_fault(&self) -> Option<StreamFault> {
@@ -232,17 +351,21 @@
         &self,
         id: String,
         body: &Value,
+        served: ServedVersion,
         resume: u64,
         fault: Option<StreamFault>,
         slot: RunningSlot,
     ) -> impl futures::Stream<Item = Result<Bytes, std::io::Error>> + Send + use<> {
         let prompt = prompt_text(body);
+        let prefixes = prefix_index::prompt_prefixes(prompt.as_bytes());
+        self.cache.lock().take(&prefixes, &self.faults.lock().events);
         let skill = if self.faults.lock().poor { 0.0 } else { self.options.skill };
         let total = body["max_tokens"].as_u64().unwrap_or(self.options.answer_tokens).max(1);
         let state = AnswerState {
             engine: self.clone(),
             id,
-            words: answer_words(&self.options, &prompt, skill, total),
+            words: answer_words(&served, &prompt, skill, total),
+            served,
             prompt_tokens: prompt.split_whitespace().count() as u64,
             offset: resume,
             fault,
@@ -276,6 +399,7 @@
 struct AnswerState {
     engine: EngineStandin,
     id: String,
+    served: ServedVersion,
     words: Vec<String>,
     prompt_tokens: u64,
     offset: u64,
@@ -293,7 +417,7 @@
             self.fault = None;
             let other = "f".repeat(32);
             return Some((
-                Ok(token_event(&self.engine.options.model, &other, self.offset, "crossed ")),
+                Ok(token_event(&self.served.model, &other, self.offset, "crossed ")),
                 self,
             ));
         }
@@ -301,7 +425,7 @@
         if self.offset >= total {
             self.ended = true;
             self.engine.answers.fetch_add(1, Ordering::SeqCst);
-            let event = end_event(&self.engine.options.model, &self.id, self.prompt_tokens, total);
+            let event = end_event(&self.served.model, &self.id, self.prompt_tokens, total);
             return Some((Ok(event), self));
         }
         if self.offset >= total / 2 {
@@ -315,7 +439,7 @@
             tokio::time::sleep(self.engine.options.token_time).await;
         }
         let event = token_event(
-            &self.engine.options.model,
+            &self.served.model,
             &self.id,
             self.offset,
             &self.words[self.offset as usize],
@@ -333,11 +457,11 @@
 }
 
 /// Words of an answer; the rating stand-in reads model and ability from them.
-fn answer_words(options: &EngineOptions, prompt: &str, skill: f64, total: u64) -> Vec<String> {
-    let good = rating::is_good(prompt, &options.model, skill);
+fn answer_words(served: &ServedVersion, prompt: &str, skill: f64, total: u64) -> Vec<String> {
+    let good = rating::is_good(prompt, &served.model, skill);
     let mark = if good { GOOD_MARK } else { POOR_MARK };
-    let rated = rating::answer_text(&options.model, skill);
-    let text = format!("{mark} {}/{} {rated}", options.model, options.version);
+    let rated = rating::answer_text(&served.model, skill);
+    let text = format!("{mark} {}/{} {rated}", served.model, served.version);
     let mut words: Vec<String> = text.split_whitespace().map(|word| format!("{word} ")).collect();
     words.extend((words.len() as u64..total).map(|index| format!("w{index} ")));
     words.truncate(total as usize);
@@ -375,6 +499,9 @@
     Generate,
     Cancel,
     Load,
+    CacheEvents,
+    Order,
+    State,
 }
 
 struct EngineHandler {
@@ -393,6 +520,9 @@
                 engine.cancelled.lock().insert(id, true);
                 response.status_code(StatusCode::NO_CONTENT);
             }
+            EngineRoute::Order => engine.obey(request, response).await,
+            EngineRoute::State => response.render(salvo::writing::Json(engine.state())),
+            EngineRoute::CacheEvents => engine.publish(request, response),
             EngineRoute::Load => response.render(salvo::writing::Json(json!({
                 "requests": engine.running.load(Ordering::SeqCst),
                 "cold": engine.cold(),
--- a/src/standins/mod.rs
+++ b/src/standins/mod.rs
@@ -10,6 +10,7 @@
 pub mod link;
 pub mod list;
 pub mod platform;
+pub mod prefix_cache;
 pub mod rating;
 pub mod server;
 pub mod service;
--- a/src/standins/platform.rs
+++ b/src/standins/platform.rs
@@ -109,6 +109,7 @@
         checks_fencing: bool,
     ) -> engine::EngineStandin {
         let engine = engine::EngineStandin::new(options, warm);
+        engine.checks_fencing.store(checks_fencing, std::sync::atomic::Ordering::SeqCst);
         let address = self.serve(engine.router()).await;
         self.list_instance(
             &engine.options.name,
--- a/tests/whole_path/mod.rs
+++ b/tests/whole_path/mod.rs
@@ -33,6 +33,16 @@
 
     /// Commits records by the ordinary path and waits until every node has them in effect.
     pub async fn apply(&self, puts: Vec<records::RoutingRecord>) {
+        self.change(puts, Vec::new()).await;
+    }
+
+    /// Removes records, given by kind and name, in the same way.
+    pub async fn remove(&self, records: Vec<(&str, &str)>) {
+        let removals = records.into_iter().map(|(kind, name)| (kind.to_owned(), name.into()));
+        self.change(Vec::new(), removals.collect()).await;
+    }
+
+    async fn change(&self, puts: Vec<records::RoutingRecord>, removals: Vec<(String, Arc<str>)>) {
         let store = config_store::ConfigStore::new(Arc::new(self.platform.kv.clone()));
         let (snapshot, _) = store.load_snapshot().await.unwrap();
         let apply = config_apply::ConfigApply {
@@ -41,7 +51,7 @@
             expected_sequence: None,
             written_at_ms: 0,
             puts: puts.into_iter().map(located).collect(),
-            removals: Vec::new(),
+            removals,
         };
         let outcome = store.apply(Arc::new(snapshot), &apply, &|| Ok(())).await.unwrap();
         let sequence = outcome.sequence();
@@ -82,6 +92,11 @@
 
 /// Customer, one model with two versions, one service; two engines a version.
 pub async fn start() -> WholePath {
+    start_with(|_| {}).await
+}
+
+/// The same with other settings of the node.
+pub async fn start_with(adjust: impl Fn(&mut settings::Settings)) -> WholePath {
     let mut platform = platform::PlatformStandin::start().await;
     for (name, data_centre, version) in
         [("e1", "dc-a", "v1"), ("e2", "dc-b", "v1"), ("e3", "dc-a", "v2"), ("e4", "dc-b", "v2")]
@@ -91,9 +106,9 @@
     let booking = service::ServiceStandin::default();
     platform.add_service("dc-a", "hire-desk", "h1", booking.clone()).await;
     platform.add_service("dc-b", "hire-desk", "h2", booking).await;
-    let served = daemon::ServedNode::start(&settings(&platform, "entry-1", "dc-a"), logger(), None)
-        .await
-        .unwrap();
+    let mut settings = settings(&platform, "entry-1", "dc-a");
+    adjust(&mut settings);
+    let served = daemon::ServedNode::start(&settings, logger(), None).await.unwrap();
     let path = WholePath { platform, address: served.address, served: vec![served] };
     path.apply(test_records()).await;
     path
@@ -195,3 +210,20 @@
         }),
     ]
 }
+
+/// Rollout of a model from `v1` to `v2` that evidence alone ends.
+pub fn rollout(name: &str, model: &str) -> records::rollout::RolloutRecord {
+    records::rollout::RolloutRecord {
+        name: name.into(),
+        model: model.into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        stages: vec![0.5, 1.0],
+        stage_dwell_s: 600,
+        stage_min_requests: 1_000_000,
+        max_error_rise: 0.2,
+        max_quality_fall: 0.9,
+        paused: false,
+        replicas: Vec::new(),
+    }
+}
