--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use salvo::fuse::FuseConfig;
 use salvo::prelude::{Router, Server};
 use tokio::signal::unix;
 
@@ -74,7 +75,9 @@
         let options = node_options(settings, logger, address.port(), peer_port)?;
         let node = node::Node::new(options)?;
         let router = router(&node, settings, metrics);
-        let mut server = Server::new(acceptor);
+        // The library's default of 30 s takes precedence over a limit set at the HTTP/1 builder.
+        let fuse = FuseConfig::default().with_http1_header_timeout(settings.limits.header_timeout);
+        let mut server = Server::new(acceptor).fuse_config(fuse);
         server.http1_mut().max_buf_size(settings.limits.header_bytes.max(8 << 10));
         let handle = server.handle();
         let serving = tokio::spawn(server.serve(router));
