Wake requests that await a customer's share when an exchange ends

A request whose customer's share was granted in full but is used up slept 2 ms (3 ms with the granularity of the timer) between two looks, also when the exchange with the home had ended before. The exchange now wakes the waiting requests; the sleep stays as the upper bound, because a bucket also fills with time.

--- a/src/node.rs
+++ b/src/node.rs
@@ -120,6 +120,8 @@
     pub home: Mutex<quota_home::QuotaHome>,
     /// Wakes the exchange of shares.
     pub quota_wake: Notify,
+    /// Wakes requests that await a share after each exchange.
+    pub share_wake: Notify,
     /// Use of customers' limits.
     pub limits: Mutex<customer_limits::CustomerLimitTable>,
     /// Retry budgets.
@@ -208,6 +210,7 @@
                     now,
                 )),
                 quota_wake: Notify::new(),
+                share_wake: Notify::new(),
                 limits: Mutex::default(),
                 retries: Mutex::default(),
                 queues: Mutex::default(),
--- a/src/node_admission.rs
+++ b/src/node_admission.rs
@@ -1,12 +1,14 @@
 //! Admission of a request: freshness, room for its bill, and the customer's limits.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::refusal_reason::RefusalReason;
 use crate::{customer_limits, error_body, ids, node, node_quota, records};
 
-/// Time between two looks at a share that is being asked for.
+/// Time between two looks at a share that is being asked for. An exchange wakes the request
+/// earlier; without one it waits for its bucket to fill at the rate that it has.
 const SHARE_POLL: Duration = Duration::from_millis(2);
 /// Time for the first share of a customer.
 const SHARE_WAIT: Duration = Duration::from_millis(600);
@@ -63,8 +65,12 @@
                         let message = "the customer's limits cannot be checked now";
                         return Err(not_run(RefusalReason::Overloaded, message));
                     }
+                    let mut exchanged = pin!(self.share_wake.notified());
+                    // An exchange may end before the first poll of the wait.
+                    exchanged.as_mut().enable();
                     self.quota_wake.notify_one();
-                    tokio::time::sleep(SHARE_POLL).await;
+                    // At the end of the time the limits are checked all the same.
+                    let _ = tokio::time::timeout(SHARE_POLL, exchanged).await;
                     outcome = self.try_admit(customer, estimate, false);
                 }
             }
--- a/src/node_quota.rs
+++ b/src/node_quota.rs
@@ -43,6 +43,7 @@
             async move { node.exchange_with(&home, request).await }
         });
         futures::future::join_all(exchanges).await;
+        self.share_wake.notify_waiters();
         self.queue_wake.notify_one();
     }
 
