--- a/tests/slow_headers.rs
+++ b/tests/slow_headers.rs
@@ -25,6 +25,7 @@
             sent: "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauth",
         },
         Case { name: "no empty line", sent: "GET /healthz HTTP/1.1\r\nhost: a\r\n" },
+        Case { name: "no second request", sent: "GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n" },
     ];
     let platform = platform::PlatformStandin::start().await;
     let mut settings = whole_path::settings(&platform, "entry-1", "dc-a");
