--- a/examples/measure_world/shape.rs
+++ b/examples/measure_world/shape.rs
@@ -63,6 +63,8 @@
 #[derive(Clone, Copy)]
 pub struct DeploymentShape {
     pub name: &'static str,
+    /// Limit of each customer in requests per second.
+    pub customer_rate: f64,
     pub region: &'static str,
     pub data_centres: &'static [&'static str],
     /// Round trip from a caller to its nearest data centre.
@@ -95,6 +97,7 @@
 /// Lanka Cold Craft Authority.
 pub const AUTHORITY: DeploymentShape = DeploymentShape {
     name: "authority",
+    customer_rate: 10_000.0,
     region: "lk-west",
     data_centres: &["colombo-a", "colombo-b", "gampaha-c"],
     caller_trip: Duration::from_micros(800),
@@ -120,6 +123,7 @@
 /// Rungwell Orchard Ladders Ltd.
 pub const RUNGWELL: DeploymentShape = DeploymentShape {
     name: "rungwell",
+    customer_rate: 10_000.0,
     region: "midlands",
     data_centres: &["evesham", "pershore", "ledbury", "tenbury"],
     caller_trip: Duration::from_micros(1_600),
@@ -190,6 +194,8 @@
     pub const fn local(name: &'static str, models: &'static [ModelShape], warm: u32) -> Self {
         Self {
             name,
+            // One customer makes all calls; at 10,000 a second its limit would be measured.
+            customer_rate: 1_000_000.0,
             region: "local",
             data_centres: &["dc-a"],
             caller_trip: Duration::ZERO,
@@ -319,7 +325,7 @@
             cascade: Some(CASCADE.into()),
             weight: share,
             limits: records::customer::CustomerLimits {
-                requests_per_s: 10_000.0,
+                requests_per_s: self.customer_rate,
                 concurrency: 10_000,
                 spend_per_day: 1_000_000_000_000,
             },
