Find a version that is bad throughout after a few answers

Change: a second likelihood product assumes that 90% of the answers are bad. The weighted mean of both products keeps the false-alarm rate of 1%.

The report of local stops has a test of its own; it fails when a stop is reported only once.

--- a/src/rollout_evidence.rs
+++ b/src/rollout_evidence.rs
@@ -4,7 +4,9 @@
 //! new version is worse by the tolerated margin, over their likelihood when both
 //! versions share one rate. Under equal rates the product is an e-process:
 //! whatever the common rate and whenever one looks, it exceeds 1/a with a
-//! probability of at most a. While both versions take traffic, each block is its own
+//! probability of at most a. A second product assumes a version of which most answers
+//! are bad; the weighted mean of the two keeps the bound and finds such a version after a
+//! few answers, before its rate is learned. While both versions take traffic, each block is its own
 //! control, so that a fault of the whole platform raises no alarm. A block without
 //! traffic of the old version is held to the rate that the old version had before.
 
@@ -24,6 +26,11 @@
 const MIN_MARGIN: f64 = 0.005;
 /// Answers that a rate is assumed to have before any; keeps rates away from 0 and 1.
 const RATE_SEED: (f64, f64) = (0.5, 20.0);
+/// Rate of bad answers that the second product assumes.
+const GROSS_RATE: f64 = 0.9;
+/// Weight of the second product. A smaller one delays the find of a version that is bad
+/// throughout, a larger one that of all others; this one costs the others 0.22 nats.
+const GROSS_WEIGHT: f64 = 0.2;
 /// Standard deviations above the old version's rate that a block without old traffic is held to.
 const BASELINE_DEVIATIONS: f64 = 4.0;
 
@@ -82,6 +89,9 @@
     margin: f64,
     /// Likelihood ratio, mixed over start times.
     wealth: f64,
+    /// The same for a version of which most answers are bad.
+    #[serde(default)]
+    gross_wealth: f64,
     blocks: u64,
     old: BadCount,
     new: BadCount,
@@ -196,7 +206,7 @@
     pub fn new(margin: f64) -> Self {
         let margin = if margin.is_finite() { margin.clamp(MIN_MARGIN, 0.5) } else { MIN_MARGIN };
         let none = BadCount::default();
-        Self { margin, wealth: 0.0, blocks: 0, old: none, new: none }
+        Self { margin, wealth: 0.0, gross_wealth: 0.0, blocks: 0, old: none, new: none }
     }
 
     /// Takes the counts of one block. The rates compared come from former blocks only.
@@ -207,13 +217,18 @@
             // The weights of all start times sum to 1, which keeps the bound on false alarms and
             // lets a version that turns bad late be found without the good past held against it.
             let started = 1.0 / (number * (number + 1.0));
-            self.wealth = (self.wealth + started) * self.log_likelihood_ratio(old, new).exp();
+            let learned = self.log_likelihood_ratio(old, new, self.new.rate());
+            let gross = self.log_likelihood_ratio(old, new, GROSS_RATE);
+            self.wealth = (self.wealth + started) * learned.exp();
+            self.gross_wealth = (self.gross_wealth + started) * gross.exp();
         }
         self.old.add(old);
         self.new.add(new);
     }
 
-    fn log_likelihood_ratio(&self, old: BadCount, new: BadCount) -> f64 {
+    /// Logarithm of the likelihood of a block when the new version has the assumed rate, over that
+    /// when both versions share one.
+    fn log_likelihood_ratio(&self, old: BadCount, new: BadCount, assumed: f64) -> f64 {
         let old_rate = self.old.rate().min(0.98);
         if old.total == 0.0 {
             if self.old.total == 0.0 {
@@ -221,21 +236,22 @@
             }
             let spread = (old_rate * (1.0 - old_rate) / (self.old.total + RATE_SEED.1)).sqrt();
             let base = (old_rate + BASELINE_DEVIATIONS * spread).min(0.98);
-            return new.log_ratio(self.worse_rate(base), base);
+            return new.log_ratio(self.worse_rate(base, assumed), base);
         }
-        let new_rate = self.worse_rate(old_rate);
+        let new_rate = self.worse_rate(old_rate, assumed);
         let pooled = (old.total * old_rate + new.total * new_rate) / (old.total + new.total);
         old.log_ratio(old_rate, pooled) + new.log_ratio(new_rate, pooled)
     }
 
-    /// Rate of a bad version: the rate seen so far, but worse by the margin at least.
-    fn worse_rate(&self, base: f64) -> f64 {
-        (base + self.margin).max(self.new.rate()).min(0.99)
+    /// Rate of a bad version: the assumed one, but worse by the margin at least.
+    fn worse_rate(&self, base: f64, assumed: f64) -> f64 {
+        (base + self.margin).max(assumed).min(0.99)
     }
 
     /// Whether the new version is worse, at a false-alarm rate.
     pub fn alarmed(&self, false_alarm_rate: f64) -> bool {
-        self.wealth >= 1.0 / false_alarm_rate
+        let mean = (1.0 - GROSS_WEIGHT) * self.wealth + GROSS_WEIGHT * self.gross_wealth;
+        mean >= 1.0 / false_alarm_rate
     }
 }
 
--- a/tests/rollout_evidence.rs
+++ b/tests/rollout_evidence.rs
@@ -90,6 +90,7 @@
     // stages and 27 s to the last one: 790 requests at the mean traffic of 22/s.
     let cases = [
         Case { name: "30% more failures", rise: |_| 0.3, most_exposed: 100.0 },
+        Case { name: "every answer bad", rise: |_| 1.0, most_exposed: 10.0 },
         Case { name: "15% more failures", rise: |_| 0.15, most_exposed: 200.0 },
         Case {
             name: "turns bad at 40 s",
@@ -100,7 +101,7 @@
     for case in cases {
         let mut exposed = 0;
         for seed in 0..100 {
-            let (state, requests) = run(seed, |second, old| old + (case.rise)(second));
+            let (state, requests) = run(seed, |second, old| (old + (case.rise)(second)).min(1.0));
             let reason = state.phase;
             assert!(matches!(reason, RolloutPhase::RolledBack { .. }), "{} {seed}", case.name);
             exposed += requests;
--- a/tests/rollout_stop.rs
+++ b/tests/rollout_stop.rs
@@ -9,11 +9,10 @@
 use yuccareel::records::RoutingRecord;
 use yuccareel::records::rollout::RolloutRecord;
 use yuccareel::rollout_stage::RolloutPhase;
+use yuccareel::{node, rollout_stage};
 
-/// Guards against evidence that does not reach the holder, or a decision that does not reach
-/// every instance.
-#[tokio::test(flavor = "multi_thread")]
-async fn failing_version_is_rolled_back_everywhere() {
+/// Two instances that know each other, where the engines of version `v2` fail.
+async fn failing_version() -> whole_path::WholePath {
     let mut path = whole_path::start().await;
     let log = whole_path::logger();
     let settings = whole_path::settings(&path.platform, "entry-2", "dc-b");
@@ -29,32 +28,75 @@
     {
         placed.engine.faults.lock().errors = true;
     }
-    let rollout = RolloutRecord {
+    path
+}
+
+fn rollout(stages: &[f64]) -> RoutingRecord {
+    RoutingRecord::Rollout(RolloutRecord {
         name: "small-v2".into(),
         model: "small".into(),
         from: "v1".into(),
         to: "v2".into(),
-        stages: vec![0.5, 1.0],
+        stages: stages.to_vec(),
         stage_dwell_s: 600,
         stage_min_requests: 1_000_000,
         max_error_rise: 0.2,
         max_quality_fall: 0.9,
         paused: false,
-    };
-    path.apply(vec![RoutingRecord::Rollout(rollout)]).await;
-    let rolled_back = |node: &yuccareel::node::Node| {
-        let states = node.rollouts.states.load();
-        states.values().any(|state| matches!(state.phase, RolloutPhase::RolledBack { .. }))
-    };
-    let http = reqwest::Client::new();
+    })
+}
+
+async fn ask(http: &reqwest::Client, served: &ServedNode) {
     let body = json!({ "model": "small", "messages": [{ "role": "user", "content": "hello" }] });
+    let url = format!("http://{}/v1/chat/completions", served.address);
+    let request = http.post(url).bearer_auth(whole_path::TOKEN).json(&body);
+    request.send().await.unwrap();
+}
+
+fn phase(node: &node::Node) -> Option<RolloutPhase> {
+    node.rollouts.states.load().values().next().map(|state| state.phase)
+}
+
+/// Guards against evidence that does not reach the holder, or a decision that does not reach
+/// every instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn failing_version_is_rolled_back_everywhere() {
+    let path = failing_version().await;
+    path.apply(vec![rollout(&[0.5, 1.0])]).await;
+    let rolled_back =
+        |node: &node::Node| matches!(phase(node), Some(RolloutPhase::RolledBack { .. }));
+    let http = reqwest::Client::new();
     let limit = tokio::time::Instant::now() + Duration::from_secs(30);
     while !path.served.iter().all(|served| rolled_back(&served.running.node)) {
         assert!(tokio::time::Instant::now() < limit, "the bad version is not rolled back");
         for served in &path.served {
-            let url = format!("http://{}/v1/chat/completions", served.address);
-            let request = http.post(url).bearer_auth(whole_path::TOKEN).json(&body);
-            request.send().await.unwrap();
+            ask(&http, served).await;
+        }
+    }
+}
+
+/// Guards against a local stop that is reported only once: the holder compares the instances
+/// that report one in the same second, and the second instance may stop the version later.
+#[tokio::test(flavor = "multi_thread")]
+async fn local_stops_are_reported_until_the_roll_back() {
+    let path = failing_version().await;
+    // No session stays on the old version, so that the evidence has nothing to compare with.
+    path.apply(vec![rollout(&[1.0])]).await;
+    path.wait(|node| phase(node) == Some(RolloutPhase::Running)).await;
+    let http = reqwest::Client::new();
+    for served in &path.served {
+        let node = &served.running.node;
+        for _ in 0..50 {
+            if node.rollouts.stops.lock().stopped("small", "v2") {
+                break;
+            }
+            ask(&http, served).await;
+        }
+        assert!(node.rollouts.stops.lock().stopped("small", "v2"), "{}", node.options.name);
+        if phase(node) == Some(RolloutPhase::Running) {
+            tokio::time::sleep(Duration::from_secs(3)).await;
         }
     }
+    let reason = rollout_stage::RollbackReason::LocalStops;
+    path.wait(|node| phase(node) == Some(RolloutPhase::RolledBack { reason })).await;
 }
