Let streams take the next step when the pool of theirs is full

Cause: streams that learned to enter at a cheaper step all wait in the queue of its pool, which is cold when a surge begins, while replicas of the costly step are idle.

A streamed answer waits at most 50 ms for the pool of its step while a costlier step is left. The wait keeps the demand for shares of the pool known, so that it warms up.

--- a/src/answer_reader.rs
+++ b/src/answer_reader.rs
@@ -55,6 +55,8 @@
     last_error: Option<engine_client::AttemptError>,
     /// Whether the next attempt has to be paid from the retry budget.
     must_pay: bool,
+    /// Longest wait of the first attempt in the pool's queue; none for the request's deadline.
+    queue_limit: Option<Duration>,
 }
 
 impl AnswerReader {
@@ -82,9 +84,15 @@
             may_have_run: false,
             last_error: None,
             must_pay: false,
+            queue_limit: None,
         }
     }
 
+    /// Refuses with `overloaded` when the first attempt waits longer in the pool's queue.
+    pub fn limit_queue(&mut self, limit: Duration) {
+        self.queue_limit = Some(limit);
+    }
+
     /// Model and version that answer.
     pub fn target(&self) -> &chat_job::VersionTarget {
         &self.target
@@ -179,7 +187,14 @@
         &mut self,
     ) -> Result<node_dispatch::DispatchGuard, error_body::RequestRefusal> {
         let (node, job) = (Arc::clone(&self.node), Arc::clone(&self.job));
-        let chosen = node.dispatch(&job, &self.target, &self.tried, self.attempts).await;
+        let waiting = node.dispatch(&job, &self.target, &self.tried, self.attempts);
+        let chosen = match self.queue_limit.filter(|_| self.attempts == 0) {
+            Some(limit) => tokio::time::timeout(limit, waiting).await.unwrap_or_else(|_| {
+                let reason = refusal_reason::RefusalReason::Overloaded;
+                Err(node_dispatch::refusal(reason))
+            }),
+            None => waiting.await,
+        };
         let Err(refusal) = chosen else { return chosen };
         let exhausted = refusal.reason == refusal_reason::RefusalReason::BackendFailed;
         if !exhausted || self.tried.is_empty() {
--- a/src/chat_flow.rs
+++ b/src/chat_flow.rs
@@ -1,6 +1,7 @@
 //! Path of a chat request: admission, cascade steps, the answer, the bill.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -9,6 +10,10 @@
     error_body, ids, node, node_rating, node_rollout, node_versions, refusal_reason,
 };
 
+/// Longest wait of a streamed answer for a step's pool while a costlier step is left. The step that
+/// exploration found to be sufficient may be cold when a surge begins.
+const STREAM_QUEUE_LIMIT: Duration = Duration::from_millis(50);
+
 /// Answer to a chat request.
 pub enum ChatAnswer {
     /// Whole answer.
@@ -223,6 +228,9 @@
         loop {
             let target = self.node.choose_target(self.job, &self.steps[step].model).await?;
             let mut reader = self.reader(target.clone(), true);
+            if step + 1 < self.steps.len() {
+                reader.limit_queue(STREAM_QUEUE_LIMIT);
+            }
             match first_token(&mut reader).await {
                 Ok(first) => {
                     let policy = self.policy();
