Exchange pass rates between instances and keep them in the key-value service

Cause: the quality table has counts to send, merge, export and import, and the holder can write its summary, but the daemon called none of it. Each instance learned alone, and a replacement of all instances lost everything.

The call that carries evidence now carries quality counts too, each second, with or without a rollout. Its body is JSON, so the schema stays as it is. A watcher adds the counts and sends them on to the holder; the reply holds what changed at the receiver since the revision that the sender knows. The holder writes one changed part of the summary a second and, when it stops, the rest; it reads all parts when it takes the role and writes none before.

--- a/examples/control_world/fake_peers.rs
+++ b/examples/control_world/fake_peers.rs
@@ -14,8 +14,7 @@
 use yuccareel::peer_handler::{Answer, PeerHandler, PeerRefusal};
 use yuccareel::{
     bill_ledger, config_change, config_log, member_age, member_row, member_table, node_view,
-    peer_client, peer_handshake, peer_message, peer_service, quota_message, rollout_evidence,
-    session_table,
+    peer_client, peer_handshake, peer_message, peer_service, quota_message, session_table,
 };
 
 use super::counted_link::{self, ByteCount};
@@ -232,8 +231,8 @@
 
     fn send_evidence(
         &self,
-        _report: rollout_evidence::EvidenceReport,
-    ) -> Answer<peer_message::RolloutStates> {
-        ready(peer_message::RolloutStates::new())
+        _report: peer_message::LearningReport,
+    ) -> Answer<peer_message::LearningReply> {
+        ready(peer_message::LearningReply::default())
     }
 }
--- a/src/node_handler.rs
+++ b/src/node_handler.rs
@@ -6,8 +6,7 @@
 
 use crate::peer_handler::{Answer, PeerHandler, PeerRefusal};
 use crate::{
-    bill_ledger, claim_record, claim_table, node, peer_message, quota_message, rollout_evidence,
-    session_table,
+    bill_ledger, claim_record, claim_table, node, peer_message, quota_message, session_table,
 };
 
 /// Answers the calls of peers.
@@ -131,11 +130,8 @@
 
     fn send_evidence(
         &self,
-        report: rollout_evidence::EvidenceReport,
-    ) -> Answer<peer_message::RolloutStates> {
-        self.answer(|node| {
-            node.rollouts.record(&report);
-            (**node.rollouts.states.load()).clone()
-        })
+        report: peer_message::LearningReport,
+    ) -> Answer<peer_message::LearningReply> {
+        self.answer(|node| node.take_learning(report))
     }
 }
--- a/src/node_rollout.rs
+++ b/src/node_rollout.rs
@@ -2,7 +2,8 @@
 //!
 //! Every node sends its evidence to the first watcher of its data centre, which
 //! adds it up and sends it on to the holder. The states of the rollouts travel
-//! back as the answers.
+//! back as the answers. Counts of rated answers take the same way; the holder keeps
+//! their summary in the key-value service.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -15,11 +16,13 @@
 use crate::event_catalogue::LogEvent;
 use crate::{
     chat_job, config_snapshot, ids, kv_store, member_choice, node, node_config, peer_message,
-    records, rollout_evidence, rollout_holder, rollout_stage,
+    quality_table, records, rollout_evidence, rollout_holder, rollout_stage,
 };
 
 /// Time between two reports of evidence.
 const EVIDENCE_INTERVAL: Duration = Duration::from_secs(1);
+/// Most quality counts in one message, about 8 KB. A new node thus knows 640 cells after 10 s.
+const COUNT_ROWS: usize = 64;
 /// First-token time above which an answer counts as slow.
 pub const SLOW_FIRST_TOKEN: Duration = Duration::from_millis(460);
 
@@ -54,6 +57,8 @@
     /// Evidence that has not been sent on.
     collectors: Mutex<HashMap<ids::RolloutName, rollout_evidence::EvidenceCollector>>,
     sequence: Mutex<u64>,
+    /// Process whose quality counts this node took over last, and their revision there.
+    known_counts: Mutex<Option<(ids::InstanceName, u64)>>,
 }
 
 impl RolloutView {
@@ -164,6 +169,10 @@
                 _ = ticks.tick() => self.tick_rollouts(&mut holder, &mut held).await,
             }
         }
+        match holder.role() {
+            Some(_) => while self.write_summary_part(&mut holder).await {},
+            None => self.send_learning(&self.snapshot.load_full()).await,
+        }
         // Without this the successor waits for the lease to expire.
         let _ = holder.resign().await;
     }
@@ -176,7 +185,6 @@
         let snapshot = self.snapshot.load_full();
         if snapshot.rollouts.is_empty() {
             self.rollouts.states.store(Arc::default());
-            return;
         }
         if self.watches() {
             let held = holder.role().is_some();
@@ -194,33 +202,84 @@
             Some(role) => {
                 held.step_all(self, holder, role.token, &snapshot).await;
                 self.adopt_states(held.states());
+                // The counts end here; nobody is left to send them on to.
+                self.quality.lock().take_unsent();
+                if held.load_summary(self).await {
+                    self.write_summary_part(holder).await;
+                }
             }
             None => {
                 held.clear();
-                self.send_evidence(&snapshot).await;
+                self.send_learning(&snapshot).await;
             }
         }
     }
 
-    async fn send_evidence(&self, snapshot: &config_snapshot::ConfigSnapshot) {
+    /// Sends evidence and quality counts, and takes over what the receiver knows.
+    async fn send_learning(&self, snapshot: &config_snapshot::ConfigSnapshot) {
         let Some(peer) = self.evidence_target().await else { return };
-        for rollout in snapshot.rollouts.values() {
+        let evidence = snapshot.rollouts.values().map(|rollout| {
             let (block, stopped) = self.take_evidence(rollout);
-            let report = rollout_evidence::EvidenceReport {
+            rollout_evidence::EvidenceReport {
                 rollout: rollout.name.clone(),
                 sender: self.process.clone(),
                 sequence: self.rollouts.next_sequence(),
                 block,
                 stopped,
-            };
-            let sent = self.peers.send_evidence(peer, node_config::SPREAD_LIMIT, &report).await;
-            match sent {
-                Ok(states) => self.adopt_states(states),
-                Err(error) if !error.may_have_run() => drop(self.rollouts.record(&report)),
-                // Evidence may have arrived; counting it twice could roll back a good version.
-                Err(_) => metrics::counter!("yuccareel_evidence_lost_total").increment(1),
             }
+        });
+        let report = peer_message::LearningReport {
+            evidence: evidence.collect(),
+            counts: self.quality.lock().take_unsent_page(COUNT_ROWS),
+            known: self.rollouts.known_counts.lock().clone(),
+        };
+        let sent = self.peers.send_evidence(peer, node_config::SPREAD_LIMIT, &report).await;
+        match sent {
+            Ok(reply) => {
+                self.adopt_states(reply.states);
+                self.quality.lock().adopt(reply.counts);
+                *self.rollouts.known_counts.lock() = Some((reply.process, reply.revision));
+            }
+            Err(error) if !error.may_have_run() => {
+                for evidence in &report.evidence {
+                    self.rollouts.record(evidence);
+                }
+                self.quality.lock().restore_unsent(report.counts);
+            }
+            // Evidence may have arrived; counting it twice could roll back a good version.
+            Err(_) => metrics::counter!("yuccareel_evidence_lost_total").increment(1),
+        }
+    }
+
+    /// Takes a report of another node; the reply holds what changed here since its last one.
+    pub fn take_learning(
+        &self,
+        report: peer_message::LearningReport,
+    ) -> peer_message::LearningReply {
+        for evidence in &report.evidence {
+            self.rollouts.record(evidence);
+        }
+        let mut table = self.quality.lock();
+        table.relay(report.counts);
+        let known = report.known.filter(|(process, _)| *process == self.process);
+        let known = known.map_or(0, |(_, revision)| revision);
+        let (counts, revision) = table.changed_since(known, COUNT_ROWS);
+        let states = (**self.rollouts.states.load()).clone();
+        peer_message::LearningReply { states, process: self.process.clone(), counts, revision }
+    }
+
+    /// Writes the next changed part of the quality summary; false when none was written.
+    async fn write_summary_part(&self, holder: &mut rollout_holder::RolloutHolder) -> bool {
+        let taken = {
+            let mut table = self.quality.lock();
+            table.take_unwritten().map(|part| (part, table.export(part)))
+        };
+        let Some((part, rows)) = taken else { return false };
+        let written = holder.write_summary(part, &rows).await.is_ok();
+        if !written {
+            self.quality.lock().restore_unwritten(part);
         }
+        written
     }
 
     /// First watcher of the data centre, or the holder when this node is that watcher.
@@ -258,6 +317,8 @@
     token: ids::FencingToken,
     stored: BTreeMap<ids::RolloutName, rollout_holder::StoredState>,
     last_tick: Option<Instant>,
+    /// Parts of the quality summary that were read since the role was taken.
+    parts_read: u64,
 }
 
 impl HeldRollouts {
@@ -265,6 +326,23 @@
         *self = Self::default();
     }
 
+    /// Reads the quality summary once; true when the whole of it was read.
+    ///
+    /// A part is written only after it was read, so that a new holder does not erase it.
+    async fn load_summary(&mut self, node: &node::Node) -> bool {
+        while self.parts_read < quality_table::SUMMARY_PARTS {
+            let store = node.options.store.as_ref();
+            match rollout_holder::read_summary(store, self.parts_read).await {
+                Ok(rows) => node.quality.lock().import(rows),
+                // An unreadable part is written anew.
+                Err(rollout_holder::HolderError::Unreadable { .. }) => {}
+                Err(_) => return false,
+            }
+            self.parts_read += 1;
+        }
+        true
+    }
+
     fn states(&self) -> peer_message::RolloutStates {
         self.stored.iter().map(|(name, stored)| (name.clone(), stored.state.clone())).collect()
     }
--- a/src/peer_client.rs
+++ b/src/peer_client.rs
@@ -18,8 +18,7 @@
 
 use crate::peer_capnp::peer;
 use crate::{
-    bill_ledger, peer_handshake, peer_message, peer_pool, peer_wire, quota_message,
-    rollout_evidence, session_table,
+    bill_ledger, peer_handshake, peer_message, peer_pool, peer_wire, quota_message, session_table,
 };
 
 /// Error of a call.
@@ -190,6 +189,7 @@
     finish_claim, finish_claim_request: peer_message::FinishRequest => ();
     /// Copies bills to a peer.
     copy_bills, copy_bills_request: bill_ledger::BillCopy => ();
-    /// Sends evidence of versions.
-    send_evidence, send_evidence_request: rollout_evidence::EvidenceReport => peer_message::RolloutStates;
+    /// Sends what this node learned.
+    send_evidence, send_evidence_request:
+        peer_message::LearningReport => peer_message::LearningReply;
 }
--- a/src/peer_handler.rs
+++ b/src/peer_handler.rs
@@ -5,7 +5,7 @@
 
 use futures::future::BoxFuture;
 
-use crate::{bill_ledger, peer_message, quota_message, rollout_evidence, session_table};
+use crate::{bill_ledger, peer_message, quota_message, session_table};
 
 /// Refusal of a call by the node that was called.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -63,9 +63,9 @@
     /// Keeps copies of bills.
     fn copy_bills(&self, copy: bill_ledger::BillCopy) -> Answer<()>;
 
-    /// Adds evidence of versions.
+    /// Adds evidence of versions and counts of rated answers.
     fn send_evidence(
         &self,
-        report: rollout_evidence::EvidenceReport,
-    ) -> Answer<peer_message::RolloutStates>;
+        report: peer_message::LearningReport,
+    ) -> Answer<peer_message::LearningReply>;
 }
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     bill_line, claim_record, cold_start, config_change, config_snapshot, ids, instance_list,
-    member_age, member_digest, member_row, quota_message, records, rollout_stage, session_table,
+    member_age, member_digest, member_row, quality_table, quota_message, records, rollout_evidence,
+    rollout_stage, session_table,
 };
 
 /// What every heartbeat and its reply say about the sender.
@@ -210,3 +211,27 @@
 
 /// State of all rollouts, as the holder last wrote it.
 pub type RolloutStates = std::collections::BTreeMap<ids::RolloutName, rollout_stage::RolloutState>;
+
+/// What a node learned since its last report.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LearningReport {
+    /// Evidence by rollout.
+    pub evidence: Vec<rollout_evidence::EvidenceReport>,
+    /// Counts of rated answers.
+    pub counts: Vec<quality_table::CountRow>,
+    /// Process whose counts the sender knows, and their revision there.
+    pub known: Option<(ids::InstanceName, u64)>,
+}
+
+/// What the receiver of a report knows from all nodes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LearningReply {
+    /// States of the rollouts.
+    pub states: RolloutStates,
+    /// Process that replies.
+    pub process: ids::InstanceName,
+    /// Counts that changed there since the revision that the sender knows.
+    pub counts: Vec<quality_table::CountRow>,
+    /// Revision of the last of these counts.
+    pub revision: u64,
+}
--- a/src/quality_table.rs
+++ b/src/quality_table.rs
@@ -8,7 +8,7 @@
 //! The seed of an entry step follows the answers of the same model to other
 //! customers. It counts for the more answers, the less those customers differ.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -28,6 +28,9 @@
 /// Most cells of one customer. Callers choose the kind in a header, so that the number of cells
 /// must not follow it; five kinds of 14 models fit with their escalations.
 const CUSTOMER_CELLS: usize = 300;
+/// Share of its own answers that a node needs to find in another node's count to take it over. A
+/// node that was replaced has forgotten most of them.
+const KNOWN_SHARE: f64 = 0.9;
 /// Number of parts of the exported summary; one part a second is written, all within 60 s.
 pub const SUMMARY_PARTS: u64 = 60;
 
@@ -90,6 +93,12 @@
     cells: BTreeMap<QualityCell, PassCount>,
     shared: BTreeMap<(ids::RequestKind, ids::ModelName), SharedCount>,
     unsent: BTreeMap<QualityCell, PassCount>,
+    /// Number of the last change.
+    revision: u64,
+    revisions: BTreeMap<QualityCell, u64>,
+    changes: BTreeMap<u64, QualityCell>,
+    /// Parts of the summary with cells that changed since they were taken.
+    unwritten: BTreeSet<u64>,
 }
 
 impl PassCount {
@@ -164,7 +173,11 @@
         if !self.change(cell, |count| count.absorb(added)) {
             return;
         }
-        let unsent = self.unsent.entry(cell.clone()).or_default();
+        self.add_unsent(cell.clone(), added);
+    }
+
+    fn add_unsent(&mut self, cell: QualityCell, added: PassCount) {
+        let unsent = self.unsent.entry(cell).or_default();
         unsent.passes += added.passes;
         unsent.failures += added.failures;
     }
@@ -200,6 +213,74 @@
         std::mem::take(&mut self.unsent).into_iter().collect()
     }
 
+    /// Takes at most a number of counts recorded here or relayed, for the next node.
+    pub fn take_unsent_page(&mut self, most: usize) -> Vec<CountRow> {
+        let mut page = Vec::new();
+        while page.len() < most
+            && let Some(row) = self.unsent.pop_first()
+        {
+            page.push(row);
+        }
+        page
+    }
+
+    /// Keeps counts that could not be sent for the next time.
+    pub fn restore_unsent(&mut self, rows: impl IntoIterator<Item = CountRow>) {
+        for (cell, count) in rows {
+            self.add_unsent(cell, count);
+        }
+    }
+
+    /// Adds counts that another node recorded, and keeps them to be sent on.
+    pub fn relay(&mut self, rows: impl IntoIterator<Item = CountRow>) {
+        for (cell, count) in rows {
+            let count = count.bounded();
+            if self.change(&cell, |known| known.absorb(count)) {
+                self.add_unsent(cell, count);
+            }
+        }
+    }
+
+    /// Counts that changed after a revision, at most a number of them, and the revision reached.
+    pub fn changed_since(&self, revision: u64, most: usize) -> (Vec<CountRow>, u64) {
+        let mut reached = revision;
+        let mut rows = Vec::new();
+        for (changed, cell) in self.changes.range(revision.saturating_add(1)..).take(most) {
+            rows.push((cell.clone(), self.cells.get(cell).copied().unwrap_or_default()));
+            reached = *changed;
+        }
+        (rows, reached)
+    }
+
+    /// Takes over counts in which another node holds what this one has sent it.
+    ///
+    /// Counts that are not sent yet are added again. A count that lacks answers of this node stays
+    /// out.
+    pub fn adopt(&mut self, rows: impl IntoIterator<Item = CountRow>) {
+        for (cell, count) in rows {
+            let mut count = count.bounded();
+            if count.total() < KNOWN_SHARE * self.answers(&cell) {
+                continue;
+            }
+            if let Some(unsent) = self.unsent.get(&cell) {
+                count.absorb(*unsent);
+            }
+            if self.cells.get(&cell) != Some(&count) {
+                self.change(&cell, |known| *known = count);
+            }
+        }
+    }
+
+    /// Takes the first part of the summary with changes since it was taken last.
+    pub fn take_unwritten(&mut self) -> Option<u64> {
+        self.unwritten.pop_first()
+    }
+
+    /// Marks a part of the summary to be written again.
+    pub fn restore_unwritten(&mut self, part: u64) {
+        self.unwritten.insert(part);
+    }
+
     /// Adds counts that another node recorded.
     pub fn merge(&mut self, rows: impl IntoIterator<Item = CountRow>) {
         for (cell, count) in rows {
@@ -234,6 +315,12 @@
         let before = *count;
         change(count);
         let after = *count;
+        self.revision += 1;
+        if let Some(former) = self.revisions.insert(cell.clone(), self.revision) {
+            self.changes.remove(&former);
+        }
+        self.changes.insert(self.revision, cell.clone());
+        self.unwritten.insert(summary_part(&cell.customer));
         if cell.after.is_none() {
             let key = (cell.kind.clone(), cell.model.clone());
             let shared = self.shared.entry(key).or_default();
--- a/tests/peer_contract.rs
+++ b/tests/peer_contract.rs
@@ -21,6 +21,7 @@
 use yuccareel::peer_handshake::SharedSecret;
 use yuccareel::peer_message::*;
 use yuccareel::peer_service::PeerService;
+use yuccareel::quality_table::{CountRow, PassCount, QualityCell};
 use yuccareel::quota_message::*;
 use yuccareel::records::rollout::RolloutRecord;
 use yuccareel::rollout_evidence::{EvidenceBlock, EvidenceReport, VersionEvidence};
@@ -102,8 +103,8 @@
     fn copy_bills(&self, copy: BillCopy) -> Answer<()> {
         self.note(copy, ())
     }
-    fn send_evidence(&self, report: EvidenceReport) -> Answer<RolloutStates> {
-        self.note(report, rollout_states())
+    fn send_evidence(&self, report: LearningReport) -> Answer<LearningReply> {
+        self.note(report, learning_reply())
     }
 }
 
@@ -223,6 +224,21 @@
     [("r".into(), RolloutState::new(&record))].into()
 }
 
+fn counts() -> Vec<CountRow> {
+    let cell = QualityCell {
+        customer: "c".into(),
+        kind: "k".into(),
+        model: "m".into(),
+        after: Some("cheap".into()),
+    };
+    vec![(cell, PassCount { passes: 0.1, failures: 1e-9 })]
+}
+
+fn learning_reply() -> LearningReply {
+    let states = rollout_states();
+    LearningReply { states, process: "b@1".into(), counts: counts(), revision: 7 }
+}
+
 fn evidence() -> EvidenceReport {
     let to = VersionEvidence { requests: 10, errors: 1, rated: 8, rated_bad: 3, slow: 2 };
     EvidenceReport {
@@ -307,7 +323,13 @@
     check!(finish_claim, finish(Some(claim_answer())), ());
     check!(finish_claim, finish(None), ());
     check!(copy_bills, bill_copy(), ());
-    check!(send_evidence, evidence(), rollout_states());
+    let report = LearningReport {
+        evidence: vec![evidence()],
+        counts: counts(),
+        known: Some(("a@1".into(), u64::MAX)),
+    };
+    check!(send_evidence, report, learning_reply());
+    check!(send_evidence, LearningReport::default(), learning_reply());
 }
 
 /// Guards against a fault of one call that harms others on the connection, and against an
