Wait 200 ms for a new home, so that short deadlines are met

Cause: a request for a replica whose home says at first that it is none waited 500 ms for that home to take over; a booking whose service has a deadline of 500 ms was always refused as `overloaded` on a node that had just started. Change: the wait is 200 ms; the new home's question to the former one takes a few milliseconds. The test prints the refusal.

--- a/src/quota_lease.rs
+++ b/src/quota_lease.rs
@@ -17,6 +17,9 @@
 
 /// Time without any answer after which a node acts as without a home.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which requests wait for a new home that says at first that it is none. It asks the
+/// former home, which takes a few milliseconds; a service's deadline may be as short as 500 ms.
+const TAKE_OVER_WAIT: Duration = Duration::from_millis(200);
 /// Time for which a node renews after its last demand.
 ///
 /// The home counts a share as in use until it hears otherwise, so the end of the use is
@@ -89,7 +92,7 @@
     /// A node that was idle has let its leases end; that is no sign of a missing home. A new home
     /// says at first that it is none, until it has the shares of the former one.
     fn awaits_answer(&self, now: Duration) -> bool {
-        let taking_over = self.homeless_since.is_some_and(|since| now < since + ASK_TIMEOUT);
+        let taking_over = self.homeless_since.is_some_and(|since| now < since + TAKE_OVER_WAIT);
         (now >= self.homeless_until || taking_over)
             && self.asked_at.is_none_or(|asked_at| now < asked_at + ASK_TIMEOUT)
     }
--- a/tests/request_identifier.rs
+++ b/tests/request_identifier.rs
@@ -29,8 +29,10 @@
             "messages": [{ "role": "user", "content": "hello" }] });
         let request = reqwest::Client::new().post(path.url(case.path)).bearer_auth(case.token);
         let reply = request.json(&body).send().await.unwrap();
-        assert_eq!(reply.status().as_u16(), case.status, "{}", case.name);
-        let id = reply.headers().get("x-request-id").expect(case.name).to_str().unwrap();
+        let status = reply.status().as_u16();
+        let id = reply.headers().get("x-request-id").expect(case.name).to_str().unwrap().to_owned();
+        let text = reply.text().await.unwrap();
+        assert_eq!(status, case.status, "{}: {text}", case.name);
         assert_eq!(id.len(), 32, "{}", case.name);
     }
 }
