Count a wider window for the outage majority in large groups

Cause: in an outage of the key-value service a node serves on when it exchanged heartbeats with more than half of the members within 3 s. Change: in groups of more than 32 instances the window is 4 s for serving on; changes are still accepted by the majority of the last 3 s. A node that is cut off stops within 4 s instead of 3 s after its last confirmation has aged.

--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -74,7 +74,7 @@
     pub fn freshness(&self, now: Duration, reach: member_reach::MemberReach) -> Freshness {
         if self.age(now).is_some_and(|age| age <= CONFIRMED_AGE) {
             Freshness::Confirmed
-        } else if reach.majority() && self.reported_at <= self.adopted_at {
+        } else if reach.outage_majority() && self.reported_at <= self.adopted_at {
             Freshness::OutageQuorum
         } else {
             Freshness::Isolated
--- a/src/member_table.rs
+++ b/src/member_table.rs
@@ -98,15 +98,18 @@
         hasher.digest()
     }
 
-    /// Members of the last list read, and those reached within 3 s.
+    /// Members of the last list read, and those reached lately.
     pub fn reach(&self, now: Duration) -> member_reach::MemberReach {
-        let mut reach = member_reach::MemberReach::default();
-        for entry in self.entries.iter().filter(|entry| entry.listed) {
-            reach.listed += 1;
-            let recent = |at: Duration| now.saturating_sub(at) <= member_reach::REACH_WINDOW;
-            if entry.row.name == self.own || entry.exchanged_at.is_some_and(recent) {
-                reach.exchanged += 1;
-            }
+        let listed = self.entries.iter().filter(|entry| entry.listed);
+        let mut reach =
+            member_reach::MemberReach { listed: listed.clone().count(), ..Default::default() };
+        let window = member_reach::outage_window(reach.listed);
+        for entry in listed {
+            let own = entry.row.name == self.own;
+            let age = entry.exchanged_at.map(|at| now.saturating_sub(at));
+            let within = |limit| own || age.is_some_and(|age| age <= limit);
+            reach.exchanged += usize::from(within(member_reach::REACH_WINDOW));
+            reach.exchanged_in_outage += usize::from(within(window));
         }
         reach
     }
