Refuse a shutdown limit that is shorter than a request may take

Cause: the cell GracefulStop x [ConnectionsSilent] cut a request: its engine connection went silent after the head, which is noticed after 10 s without a first token, while the cell's instances gave requests 10 s and a shutdown 4 s. The settings accepted that. Change: `--shutdown-timeout-ms` below `--request-timeout-ms` is a finding; the instances of the matrix give requests the 4 s of their shutdown.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -215,6 +215,12 @@
     let body_timeout = reader.milliseconds("body-timeout-ms", 10..=600_000);
     let request_timeout = reader.milliseconds("request-timeout-ms", 100..=600_000);
     let shutdown_timeout = reader.milliseconds("shutdown-timeout-ms", 0..=900_000);
+    if let (Some(shutdown), Some(request)) = (shutdown_timeout, request_timeout)
+        && shutdown < request
+    {
+        let message = "shorter than --request-timeout-ms; a shutdown would cut requests";
+        reader.report("shutdown-timeout-ms", message);
+    }
     Some(RequestLimits {
         body_bytes: usize::try_from(body_bytes?).ok()?,
         header_bytes: usize::try_from(header_bytes?).ok()?,
--- a/tests/fault_world/platform_world.rs
+++ b/tests/fault_world/platform_world.rs
@@ -247,7 +247,8 @@
                 header_bytes: 16 << 10,
                 header_timeout: Duration::from_secs(5),
                 body_timeout: Duration::from_secs(5),
-                request_timeout: Duration::from_secs(10),
+                // A shutdown waits as long for the requests in flight.
+                request_timeout: STOP_TIME,
                 shutdown_timeout: STOP_TIME,
             },
             log_level: slog::Level::Critical,
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -74,6 +74,11 @@
             arguments: &["--body-bytes-max=1", "--request-timeout-ms=600001"],
             findings: &["found 1", "found 600001"],
         },
+        Case {
+            name: "shutdown that cuts requests",
+            arguments: &["--request-timeout-ms=9000", "--shutdown-timeout-ms=8999"],
+            findings: &["--shutdown-timeout-ms "],
+        },
         Case {
             name: "address that nobody can connect to",
             arguments: &["--advertise=", "--listen=0.0.0.0:1", "--peer-advertise=[::]:1"],
