--- a/examples/control_cost.rs
+++ b/examples/control_cost.rs
@@ -78,7 +78,7 @@
         "YUCCAREEL_LISTEN={}\nYUCCAREEL_PEER_LISTEN={}\nYUCCAREEL_PEER_ADVERTISE={}\n\
          YUCCAREEL_NAME={}\nYUCCAREEL_DATA_CENTRE=dc-00\nYUCCAREEL_KV_URL=http://{}\n\
          YUCCAREEL_INSTANCE_LIST_URL=http://{}\nYUCCAREEL_PEER_SECRET='{}'\n\
-         YUCCAREEL_OPERATOR_TOKEN_SHA256={}\nYUCCAREEL_SHUTDOWN_TIMEOUT_MS=0\n\
+         YUCCAREEL_OPERATOR_TOKEN_SHA256={}\n\
          YUCCAREEL_LOG_LEVEL=error\n",
         world.listen,
         world.peer_listen,
