State the inputs of a limit check in one struct

Cause: `admit` and `readmit` repeated six parameters, and two tests repeated an exchange with the home. Change: `LimitCheck`; one exchange in the tests, by a function that decides each share.

--- a/src/customer_limits.rs
+++ b/src/customer_limits.rs
@@ -63,6 +63,23 @@
     day: u64,
 }
 
+/// Request whose customer's limits are checked, and what they are checked by.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitCheck<'a> {
+    /// Customer with its limits.
+    pub customer: &'a records::customer::CustomerRecord,
+    /// Expected cost.
+    pub estimate: ids::Microcredits,
+    /// Shares that this node holds.
+    pub shares: &'a ShareTable,
+    /// Live nodes.
+    pub nodes: usize,
+    /// Day to which spent money counts.
+    pub day: u64,
+    /// Clock of this node.
+    pub now: Duration,
+}
+
 /// Use of customers' limits by this node.
 #[derive(Debug, Default)]
 pub struct CustomerLimitTable {
@@ -71,20 +88,13 @@
 
 impl CustomerLimitTable {
     /// Checks all limits of a customer and counts the request if it passes.
-    pub fn admit(
-        &mut self,
-        customer: &records::customer::CustomerRecord,
-        estimate: ids::Microcredits,
-        shares: &ShareTable,
-        nodes: usize,
-        day: u64,
-        now: Duration,
-    ) -> LimitOutcome {
+    pub fn admit(&mut self, check: LimitCheck<'_>) -> LimitOutcome {
+        let LimitCheck { customer, estimate, day, now, .. } = check;
         let row = self.rows.entry(customer.name.clone()).or_default();
         row.turn(day, now);
         row.arrivals = row.arrivals.saturating_add(1);
         (row.estimate, row.arrived_at) = (estimate, Some(now));
-        let outcome = self.readmit(customer, estimate, shares, nodes, day, now);
+        let outcome = self.readmit(check);
         if outcome != LimitOutcome::Admitted
             && let Some(row) = self.rows.get_mut(&customer.name)
         {
@@ -94,15 +104,8 @@
     }
 
     /// Checks again for a request that awaits a share, without counting its arrival again.
-    pub fn readmit(
-        &mut self,
-        customer: &records::customer::CustomerRecord,
-        estimate: ids::Microcredits,
-        shares: &ShareTable,
-        nodes: usize,
-        day: u64,
-        now: Duration,
-    ) -> LimitOutcome {
+    pub fn readmit(&mut self, check: LimitCheck<'_>) -> LimitOutcome {
+        let LimitCheck { customer, estimate, shares, nodes, day, now } = check;
         let row = self.rows.entry(customer.name.clone()).or_default();
         row.turn(day, now);
         let asked = |kind| shares.state(kind, &customer.name, now) != ShareState::Unasked;
--- a/src/node_admission.rs
+++ b/src/node_admission.rs
@@ -93,10 +93,8 @@
         let shares = self.shares.lock();
         let mut limits = self.limits.lock();
         let (day, now) = (node_quota::day_number(), self.clock());
-        if arrives {
-            limits.admit(customer, estimate, &shares, nodes, day, now)
-        } else {
-            limits.readmit(customer, estimate, &shares, nodes, day, now)
-        }
+        let check =
+            customer_limits::LimitCheck { customer, estimate, shares: &shares, nodes, day, now };
+        if arrives { limits.admit(check) } else { limits.readmit(check) }
     }
 }
--- a/tests/customer_limits.rs
+++ b/tests/customer_limits.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use fixtures::{customer, ms, shares};
-use yuccareel::customer_limits::{CustomerLimitTable, LimitOutcome};
+use yuccareel::customer_limits::{CustomerLimitTable, LimitCheck, LimitOutcome};
 use yuccareel::quota_lease::{ShareState, ShareTable};
-use yuccareel::quota_message::{GrantOutcome, ResourceKind, ShareGrant, ShareReply};
+use yuccareel::quota_message::{GrantOutcome, ResourceKind, ShareGrant, ShareReply, ShareWant};
 use yuccareel::records::RoutingRecord;
 use yuccareel::records::customer::CustomerRecord;
 use yuccareel::refusal_reason::RefusalReason;
@@ -20,23 +20,42 @@
 }
 
 /// Exchanges all wanted shares with a home that grants `amounts` by kind.
-fn exchange(shares: &mut ShareTable, amounts: &dyn Fn(ResourceKind) -> Option<u64>, now: Duration) {
+fn check<'a>(
+    customer: &'a CustomerRecord,
+    estimate: u64,
+    shares: &'a ShareTable,
+    now: Duration,
+) -> LimitCheck<'a> {
+    LimitCheck { customer, estimate, shares, nodes: 2, day: 1, now }
+}
+
+fn leased(amount: u64, quantity: u64) -> GrantOutcome {
+    GrantOutcome::Leased { amount, quantity, cold: false, epoch: 0 }
+}
+
+/// Exchange with a home that answers each wanted share by `grant`.
+fn exchange_by(shares: &mut ShareTable, grant: impl Fn(&ShareWant) -> GrantOutcome, now: Duration) {
     for (home, request) in shares.requests(now, &["home".into()]) {
-        let grants = request.wants.iter().map(|want| {
-            let amount = amounts(want.resource.kind);
-            let outcome = amount.map_or(GrantOutcome::NoHome, |amount| GrantOutcome::Leased {
-                amount,
-                quantity: amount,
-                cold: false,
-                epoch: 0,
-            });
-            ShareGrant { resource: want.resource.clone(), outcome }
-        });
+        let grants = request
+            .wants
+            .iter()
+            .map(|want| ShareGrant { resource: want.resource.clone(), outcome: grant(want) });
         let reply = ShareReply { number: request.number, grants: grants.collect() };
         shares.apply(&home, &reply);
     }
 }
 
+fn exchange(shares: &mut ShareTable, amounts: &dyn Fn(ResourceKind) -> Option<u64>, now: Duration) {
+    let grant = |want: &ShareWant| {
+        amounts(want.resource.kind).map_or(GrantOutcome::NoHome, |amount| leased(amount, amount))
+    };
+    exchange_by(shares, grant, now);
+}
+
+fn grant_wanted(shares: &mut ShareTable, now: Duration) {
+    exchange_by(shares, |want| leased(want.wanted, 1_000_000), now);
+}
+
 /// Guards against requests over a share, and against refusals below it.
 #[test]
 fn shares_bound_requests() {
@@ -103,7 +122,7 @@
         let mut shares = ShareTable::new("node".into(), 1);
         let record = record();
         let admit = |limits: &mut CustomerLimitTable, shares: &ShareTable, now| {
-            limits.admit(&record, 100, shares, 2, 1, now)
+            limits.admit(check(&record, 100, shares, now))
         };
         assert_eq!(admit(&mut limits, &shares, ms(0)), LimitOutcome::AwaitShare, "{}", case.name);
         assert!(limits.state_use(&mut shares, 1, ms(0)), "{}: no exchange at once", case.name);
@@ -128,7 +147,7 @@
     let record = record();
     let mut limits = CustomerLimitTable::default();
     let mut table = shares(ResourceKind::CustomerRate, &[("c", 2_000, 8_000, false)], ms(0));
-    limits.admit(&record, 100, &table, 2, 1, ms(0));
+    limits.admit(check(&record, 100, &table, ms(0)));
     limits.state_use(&mut table, 1, ms(0));
     let amounts = |kind| Some(if kind == ResourceKind::CustomerRate { 2_000 } else { 300 });
     let mut passed = 0;
@@ -136,7 +155,7 @@
         let now = ms(step * 100);
         limits.state_use(&mut table, 1, now);
         exchange(&mut table, &amounts, now);
-        if limits.admit(&record, 100, &table, 2, 1, now) == LimitOutcome::Admitted {
+        if limits.admit(check(&record, 100, &table, now)) == LimitOutcome::Admitted {
             passed += 1;
             limits.finish("c", 100, 10);
         }
@@ -181,11 +200,11 @@
                 shares.apply(&home, &reply);
             }
         };
-        limits.admit(&record, 100, &shares, 2, 1, ms(0));
+        limits.admit(check(&record, 100, &shares, ms(0)));
         exchange_all(&mut limits, &mut shares, ms(0));
         let mut last = LimitOutcome::Admitted;
         for _ in 0..64 {
-            last = limits.admit(&record, 100, &shares, 2, 1, ms(1));
+            last = limits.admit(check(&record, 100, &shares, ms(1)));
             if last != LimitOutcome::Admitted {
                 break;
             }
@@ -204,21 +223,9 @@
     for step in 0..40_u64 {
         let now = ms(step * 500);
         limits.state_use(&mut shares, 1, now);
-        for (home, request) in shares.requests(now, &["home".into()]) {
-            let grants = request.wants.iter().map(|want| ShareGrant {
-                resource: want.resource.clone(),
-                outcome: GrantOutcome::Leased {
-                    amount: want.wanted,
-                    quantity: 1_000_000,
-                    cold: false,
-                    epoch: 0,
-                },
-            });
-            let reply = ShareReply { number: request.number, grants: grants.collect() };
-            shares.apply(&home, &reply);
-        }
+        grant_wanted(&mut shares, now);
         let later = now + ms(100);
-        match limits.admit(&record, 100, &shares, 2, 1, later) {
+        match limits.admit(check(&record, 100, &shares, later)) {
             LimitOutcome::Admitted => limits.finish("c", 100, 10),
             _ => waited += 1,
         }
@@ -233,10 +240,10 @@
     let (record, now) = (record(), ms(20_000));
     let mut limits = CustomerLimitTable::default();
     let mut shares = ShareTable::new("node".into(), 1);
-    limits.admit(&record, 0, &shares, 2, 1, now);
+    limits.admit(check(&record, 0, &shares, now));
     limits.state_use(&mut shares, 1, now);
     exchange(&mut shares, &|_| Some(8_000), now);
-    let outcome = limits.admit(&record, 0, &shares, 2, 1, now + ms(1));
+    let outcome = limits.admit(check(&record, 0, &shares, now + ms(1)));
     assert_eq!(outcome, LimitOutcome::Admitted);
 }
 
@@ -250,7 +257,7 @@
     for step in 0..1_000_u64 {
         let now = ms(step * 5);
         let admit = if waiting { CustomerLimitTable::readmit } else { CustomerLimitTable::admit };
-        match admit(&mut limits, &record, 0, &shares, 2, 1, now) {
+        match admit(&mut limits, check(&record, 0, &shares, now)) {
             LimitOutcome::Admitted => {
                 (answered, waiting) = (answered + 1, false);
                 limits.finish("c", 0, 0);
@@ -258,19 +265,7 @@
             _ => waiting = true,
         }
         limits.state_use(&mut shares, 1, now);
-        for (home, request) in shares.requests(now, &["home".into()]) {
-            let grants = request.wants.iter().map(|want| ShareGrant {
-                resource: want.resource.clone(),
-                outcome: GrantOutcome::Leased {
-                    amount: want.wanted,
-                    quantity: 1_000_000,
-                    cold: false,
-                    epoch: 0,
-                },
-            });
-            let reply = ShareReply { number: request.number, grants: grants.collect() };
-            shares.apply(&home, &reply);
-        }
+        grant_wanted(&mut shares, now);
     }
     assert!(answered >= 500, "{answered} of 1,000 turns answered");
 }
