Share the settings and record commits of instances on stand-ins

Cause: five places stated the same settings of an instance on a platform of stand-ins, and three committed records in the same way. Change: `standins::instance` states both; the worlds change what differs. The measurements use the platform's own peer secret.

--- a/examples/control_world/mod.rs
+++ b/examples/control_world/mod.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use yuccareel::records::{self, RoutingRecord};
-use yuccareel::standins::{engine, platform};
+use yuccareel::standins::{engine, instance, platform};
 use yuccareel::{
-    config_apply, config_change, config_store, daemon, instance_list, peer_handshake,
-    record_reader, settings, token_index,
+    config_apply, config_change, config_store, daemon, instance_list, peer_handshake, settings,
+    token_index,
 };
 
 use counted_link::ByteCount;
@@ -138,18 +138,7 @@
     }
 
     async fn apply(&self, puts: Vec<RoutingRecord>) -> Option<Arc<config_change::ConfigChange>> {
-        let (snapshot, _) = self.store().load_snapshot().await.expect("configuration is readable");
-        let located = |record| record_reader::LocatedRecord { file: "control".into(), record };
-        let apply = config_apply::ConfigApply {
-            apply_id: format!("{:032x}", rand::random::<u128>()).into(),
-            author: "control".into(),
-            expected_sequence: None,
-            written_at_ms: 0,
-            puts: puts.into_iter().map(located).collect(),
-            removals: Vec::new(),
-        };
-        let outcome = self.store().apply(Arc::new(snapshot), &apply, &|| Ok(())).await;
-        match outcome.expect("change is accepted") {
+        match instance::commit_records(&self.platform, puts, Vec::new()).await {
             config_apply::ApplyOutcome::Committed(change) => Some(change),
             config_apply::ApplyOutcome::Unchanged(_) => None,
         }
@@ -163,27 +152,10 @@
         peer_advertise: SocketAddr,
     ) -> settings::Settings {
         settings::Settings {
-            listen: platform::loopback(),
             peer_listen,
-            advertise: platform::loopback(),
             peer_advertise,
-            name: name.into(),
-            data_centre: data_centre.into(),
-            kv_url: format!("http://{}", self.platform.kv_address),
-            instance_list_url: format!("http://{}", self.platform.list_address),
-            rating_url: None,
-            weight_store_url: None,
             peer_secret: settings::PeerSecret::new(SECRET.as_bytes()),
-            operator_token_sha256: token_index::token_digest("operator"),
-            limits: settings::RequestLimits {
-                body_bytes: 1 << 20,
-                header_bytes: 16 << 10,
-                header_timeout: Duration::from_secs(5),
-                body_timeout: Duration::from_secs(5),
-                request_timeout: Duration::from_secs(10),
-                shutdown_timeout: Duration::from_secs(1),
-            },
-            log_level: slog::Level::Error,
+            ..instance::settings(&self.platform, name, data_centre)
         }
     }
 }
--- a/examples/measure_world/fleet.rs
+++ b/examples/measure_world/fleet.rs
@@ -6,10 +6,8 @@
 
 use parking_lot::Mutex;
 use tokio::time::Instant;
-use yuccareel::standins::{platform, rating, server, service};
-use yuccareel::{
-    config_apply, config_store, daemon, ids, node, record_reader, records, settings, token_index,
-};
+use yuccareel::standins::{instance, platform, rating, server, service};
+use yuccareel::{daemon, ids, node, records, settings};
 
 use super::shape;
 
@@ -78,19 +76,8 @@
         puts: Vec<records::RoutingRecord>,
         removals: Vec<(String, Arc<str>)>,
     ) -> Duration {
-        let store = config_store::ConfigStore::new(Arc::new(self.platform.kv.clone()));
-        let (snapshot, _) = store.load_snapshot().await.expect("configuration is readable");
-        let located = |record| record_reader::LocatedRecord { file: "measure".into(), record };
-        let apply = config_apply::ConfigApply {
-            apply_id: format!("{:032x}", rand::random::<u128>()).into(),
-            author: "measure".into(),
-            expected_sequence: None,
-            written_at_ms: 0,
-            puts: puts.into_iter().map(located).collect(),
-            removals,
-        };
-        let outcome = store.apply(Arc::new(snapshot), &apply, &|| Ok(())).await;
-        let sequence = outcome.expect("change is accepted").sequence();
+        let outcome = instance::commit_records(&self.platform, puts, removals).await;
+        let sequence = outcome.sequence();
         let started = Instant::now();
         self.wait("configuration", |node| {
             node.snapshot.load().sequence >= sequence && node.ready()
@@ -123,35 +110,15 @@
     }
 
     fn settings(&self, name: &str, data_centre: &str) -> settings::Settings {
+        let settings = instance::settings(&self.platform, name, data_centre);
         settings::Settings {
-            listen: platform::loopback(),
-            peer_listen: platform::loopback(),
-            advertise: platform::loopback(),
-            peer_advertise: platform::loopback(),
-            name: name.into(),
-            data_centre: data_centre.into(),
-            kv_url: format!("http://{}", self.platform.kv_address),
-            instance_list_url: format!("http://{}", self.platform.list_address),
             rating_url: Some(self.rating_url.clone()),
-            weight_store_url: None,
-            peer_secret: settings::PeerSecret::new(PEER_SECRET),
-            operator_token_sha256: token_index::token_digest("operator"),
-            limits: settings::RequestLimits {
-                body_bytes: 1 << 20,
-                header_bytes: 16 << 10,
-                header_timeout: Duration::from_secs(5),
-                body_timeout: Duration::from_secs(5),
-                request_timeout: Duration::from_secs(10),
-                shutdown_timeout: LEAVE_TIME,
-            },
-            log_level: slog::Level::Error,
+            limits: settings::RequestLimits { shutdown_timeout: LEAVE_TIME, ..settings.limits },
+            ..settings
         }
     }
 }
 
-/// Secret between the instances of a measurement.
-pub const PEER_SECRET: &[u8] = b"a secret of the measurements";
-
 /// Platform with all engines and services of a shape, warm.
 pub async fn start_platform(shape: &shape::DeploymentShape) -> platform::PlatformStandin {
     let mut platform = platform::PlatformStandin::start().await;
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -7,12 +7,11 @@
 
 use std::collections::BTreeMap;
 use std::process::ExitCode;
-use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::{Value, json};
 use tokio::time::Instant;
-use yuccareel::standins::{engine, platform, rating, server, service};
+use yuccareel::standins::{engine, instance, platform, rating, server, service};
 use yuccareel::{cli, cli_exit, daemon, settings, token_index};
 
 const RECORDS: &str = "examples/records/orchard.toml";
@@ -373,27 +372,16 @@
     data_centre: &str,
     rating: std::net::SocketAddr,
 ) -> settings::Settings {
+    let settings = instance::settings(platform, name, data_centre);
     settings::Settings {
-        listen: platform::loopback(),
-        peer_listen: platform::loopback(),
-        advertise: platform::loopback(),
-        peer_advertise: platform::loopback(),
-        name: Arc::from(name),
-        data_centre: Arc::from(data_centre),
-        kv_url: format!("http://{}", platform.kv_address),
-        instance_list_url: format!("http://{}", platform.list_address),
         rating_url: Some(format!("http://{rating}")),
-        weight_store_url: None,
-        peer_secret: settings::PeerSecret::new(b"a secret of the quick start"),
         operator_token_sha256: token_index::token_digest(OPERATOR_TOKEN),
         limits: settings::RequestLimits {
-            body_bytes: 1 << 20,
-            header_bytes: 16 << 10,
-            header_timeout: Duration::from_secs(5),
-            body_timeout: Duration::from_secs(10),
             request_timeout: Duration::from_secs(30),
             shutdown_timeout: Duration::from_secs(5),
+            ..settings.limits
         },
         log_level: slog::Level::Info,
+        ..settings
     }
 }
--- a/src/standins/mod.rs
+++ b/src/standins/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod control;
 pub mod engine;
+pub mod instance;
 pub mod kv;
 pub mod kv_http;
 pub mod kv_table;
--- a/tests/fault_world/platform_world.rs
+++ b/tests/fault_world/platform_world.rs
@@ -9,7 +9,9 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 use yuccareel::records::{RoutingRecord, customer, data_centre, model, rollout, service};
-use yuccareel::standins::{engine, link, platform, rating, server, service as service_standin};
+use yuccareel::standins::{
+    engine, instance, link, platform, rating, server, service as service_standin,
+};
 use yuccareel::{daemon, record_reader, settings, token_index};
 
 use super::observation::CellObservations;
@@ -229,29 +231,19 @@
     }
 
     fn settings(&self, name: &str, data_centre: &str) -> settings::Settings {
+        let settings = instance::settings(&self.platform, name, data_centre);
         settings::Settings {
-            listen: platform::loopback(),
-            peer_listen: platform::loopback(),
-            advertise: platform::loopback(),
-            peer_advertise: platform::loopback(),
-            name: name.into(),
-            data_centre: data_centre.into(),
-            kv_url: format!("http://{}", self.platform.kv_address),
-            instance_list_url: format!("http://{}", self.platform.list_address),
             rating_url: Some(format!("http://{}", self.rating_address)),
-            weight_store_url: None,
-            peer_secret: settings::PeerSecret::new(&self.platform.peer_secret),
             operator_token_sha256: token_index::token_digest(OPERATOR),
             limits: settings::RequestLimits {
                 body_bytes: 64 << 10,
-                header_bytes: 16 << 10,
-                header_timeout: Duration::from_secs(5),
-                body_timeout: Duration::from_secs(5),
                 // A shutdown waits as long for the requests in flight.
                 request_timeout: STOP_TIME,
                 shutdown_timeout: STOP_TIME,
+                ..settings.limits
             },
             log_level: slog::Level::Critical,
+            ..settings
         }
     }
 
--- a/tests/whole_path/mod.rs
+++ b/tests/whole_path/mod.rs
@@ -5,10 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use yuccareel::standins::{engine, platform, service};
-use yuccareel::{
-    config_apply, config_store, daemon, node, record_reader, records, settings, token_index,
-};
+use yuccareel::standins::{engine, instance, platform, service};
+use yuccareel::{daemon, node, records, settings, token_index};
 
 /// Bearer token of the test customer.
 pub const TOKEN: &str = "test-token";
@@ -43,17 +41,7 @@
     }
 
     async fn change(&self, puts: Vec<records::RoutingRecord>, removals: Vec<(String, Arc<str>)>) {
-        let store = config_store::ConfigStore::new(Arc::new(self.platform.kv.clone()));
-        let (snapshot, _) = store.load_snapshot().await.unwrap();
-        let apply = config_apply::ConfigApply {
-            apply_id: format!("{:032x}", rand::random::<u128>()).into(),
-            author: "test".into(),
-            expected_sequence: None,
-            written_at_ms: 0,
-            puts: puts.into_iter().map(located).collect(),
-            removals,
-        };
-        let outcome = store.apply(Arc::new(snapshot), &apply, &|| Ok(())).await.unwrap();
+        let outcome = instance::commit_records(&self.platform, puts, removals).await;
         let sequence = outcome.sequence();
         self.wait(|node| node.snapshot.load().sequence >= sequence && node.ready()).await;
         self.wait(|node| !node.replicas.load().rows().is_empty()).await;
@@ -120,10 +108,6 @@
     (node.options.name.clone(), node.status(), node.view.load_full(), rows, node.watches())
 }
 
-fn located(record: records::RoutingRecord) -> record_reader::LocatedRecord {
-    record_reader::LocatedRecord { file: "test".into(), record }
-}
-
 /// Log of a test; the harness shows it when the test fails.
 pub fn logger() -> slog::Logger {
     use slog::Drain as _;
@@ -138,29 +122,16 @@
     name: &str,
     data_centre: &str,
 ) -> settings::Settings {
-    let digest = token_index::token_digest("operator");
+    let settings = instance::settings(platform, name, data_centre);
     settings::Settings {
-        listen: platform::loopback(),
-        peer_listen: platform::loopback(),
-        advertise: platform::loopback(),
-        peer_advertise: platform::loopback(),
-        name: name.into(),
-        data_centre: data_centre.into(),
-        kv_url: format!("http://{}", platform.kv_address),
-        instance_list_url: format!("http://{}", platform.list_address),
-        rating_url: None,
-        weight_store_url: None,
-        peer_secret: settings::PeerSecret::new(&platform.peer_secret),
-        operator_token_sha256: digest,
         limits: settings::RequestLimits {
             body_bytes: 64 << 10,
-            header_bytes: 16 << 10,
-            header_timeout: Duration::from_secs(5),
-            body_timeout: Duration::from_secs(5),
             request_timeout: Duration::from_secs(20),
             shutdown_timeout: Duration::from_secs(1),
+            ..settings.limits
         },
         log_level: slog::Level::Info,
+        ..settings
     }
 }
 
