--- a/examples/measure_world/baseline.rs
+++ b/examples/measure_world/baseline.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use serde_json::json;
 use tokio::time::Instant;
-use yuccareel::standins::{engine, platform};
+use yuccareel::standins::{engine_answer, platform};
 use yuccareel::{engine_client, error_body};
 
 use super::outcome::{EndState, Outcome};
@@ -183,7 +183,7 @@
             let tokens = usage.prompt_tokens * model.input_cost
                 + usage.completion_tokens * model.output_cost;
             outcome.cost += tokens.div_ceil(1_000);
-            outcome.good = text.starts_with(engine::GOOD_MARK);
+            outcome.good = text.starts_with(engine_answer::GOOD_MARK);
             outcome.target = Some((model.name.to_owned(), version.to_owned()));
             outcome.end = match caller::whole_text(
                 &text,
--- a/examples/measure_world/caller.rs
+++ b/examples/measure_world/caller.rs
@@ -10,7 +10,7 @@
 use rand::RngExt as _;
 use serde_json::{Value, json};
 use tokio::time::Instant;
-use yuccareel::standins::engine;
+use yuccareel::standins::engine_answer;
 use yuccareel::{endpoint_answer, error_body};
 
 use super::outcome::{EndState, Outcome};
@@ -227,7 +227,7 @@
         }
         let (model, version) = outcome.target.clone().unwrap_or_default();
         let tokens = planned.kind.answer_tokens();
-        outcome.good = answer.text.starts_with(engine::GOOD_MARK);
+        outcome.good = answer.text.starts_with(engine_answer::GOOD_MARK);
         outcome.end = match answer.done && whole_text(&answer.text, &model, &version, tokens) {
             true => EndState::Answered,
             false => EndState::Mismatched(answer.text),
@@ -238,8 +238,9 @@
 /// Whether a text is the answer that the engine stand-in gives.
 pub fn whole_text(text: &str, model: &str, version: &str, tokens: u64) -> bool {
     let mut words = text.split_whitespace();
-    let marked =
-        words.next().is_some_and(|mark| [engine::GOOD_MARK, engine::POOR_MARK].contains(&mark));
+    let marked = words
+        .next()
+        .is_some_and(|mark| [engine_answer::GOOD_MARK, engine_answer::POOR_MARK].contains(&mark));
     let named = words.next().is_some_and(|name| name == format!("{model}/{version}"));
     let rated = words.next() == Some(&format!("model={model}"))
         && words.next().is_some_and(|word| word.starts_with("ability="));
--- a/src/standins/engine.rs
+++ b/src/standins/engine.rs
@@ -8,19 +8,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures::stream;
 use parking_lot::Mutex;
 use salvo::prelude::{Depot, Request, Response, Router, StatusCode, handler};
 use serde_json::{Value, json};
 
-use crate::standins::{prefix_cache, rating, weights};
-use crate::{engine_client, engine_control, prefix_index};
-
-/// First word of an answer that meets the quality wanted.
-pub const GOOD_MARK: &str = "good:";
-/// First word of an answer that does not.
-pub const POOR_MARK: &str = "poor:";
+use crate::standins::{engine_answer, prefix_cache, weights};
+use crate::{engine_client, engine_control};
 
 /// What the engine is and how fast it answers.
 #[derive(Clone, Debug)]
@@ -133,8 +126,9 @@
     pub cache: Arc<Mutex<prefix_cache::PrefixCache>>,
     /// Requests refused because they name another model or version.
     pub foreign: Arc<AtomicU32>,
+    /// Whole answers since the engine was cold.
+    pub answers: Arc<AtomicU32>,
     running: Arc<AtomicU32>,
-    answers: Arc<AtomicU32>,
     boot: Arc<Mutex<u32>>,
     cancelled: Arc<Mutex<HashMap<String, bool>>>,
 }
@@ -219,41 +213,6 @@
         }
     }
 
-    async fn obey(&self, request: &mut Request, response: &mut Response) {
-        let Ok(order) = request.parse_json::<engine_control::EngineOrder>().await else {
-            response.status_code(StatusCode::BAD_REQUEST);
-            return;
-        };
-        let newest = self.orders.lock().iter().map(|order| order.token).max().unwrap_or(0);
-        if self.checks_fencing.load(Ordering::SeqCst) && order.token < newest {
-            response.status_code(StatusCode::CONFLICT);
-            return;
-        }
-        if self.weights.lock().as_ref().is_some_and(|store| !store.load()) {
-            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
-            return;
-        }
-        self.orders.lock().push(order.clone());
-        let (lost, load_ms) = {
-            let mut faults = self.faults.lock();
-            let lost = faults.lose_orders > 0;
-            faults.lose_orders = faults.lose_orders.saturating_sub(1);
-            (lost, faults.load_ms)
-        };
-        if let engine_control::EngineCommand::LoadVersion { model, version } = order.command {
-            let engine = self.clone();
-            let load = async move {
-                tokio::time::sleep(Duration::from_millis(load_ms)).await;
-                engine.reassign(&model, &version);
-                engine.answers.store(0, Ordering::SeqCst);
-            };
-            if load_ms == 0 { load.await } else { drop(tokio::spawn(load)) }
-        }
-        if lost {
-            response.status_code(StatusCode::INTERNAL_SERVER_ERROR);
-        }
-    }
-
     fn publish(&self, request: &mut Request, response: &mut Response) {
         let faults = self.faults.lock().events.clone();
         if faults.off {
@@ -314,14 +273,14 @@
             return;
         }
         let fault = self.take_fault();
-        if fault == Some(StreamFault::Silent) {
+        if fault == Some(engine_answer::StreamFault::Silent) {
             std::future::pending::<()>().await;
         }
         response.headers_mut().insert("content-type", "text/event-stream".parse().expect("static"));
         response.stream(self.answer(id, &body, served, resume, fault, slot));
     }
 
-    fn take_fault(&self) -> Option<StreamFault> {
+    fn take_fault(&self) -> Option<engine_answer::StreamFault> {
         let mut faults = self.faults.lock();
         let mut take = |count: fn(&mut EngineFaults) -> &mut u32, fault| {
             let count = count(&mut faults);
@@ -330,162 +289,20 @@
                 fault
             })
         };
-        take(|faults| &mut faults.silent_next, StreamFault::Silent)
-            .or_else(|| take(|faults| &mut faults.truncate_next, StreamFault::Truncate))
-            .or_else(|| take(|faults| &mut faults.cross_next, StreamFault::Cross))
-            .or_else(|| take(|faults| &mut faults.stall_next, StreamFault::Stall))
+        take(|faults| &mut faults.silent_next, engine_answer::StreamFault::Silent)
+            .or_else(|| {
+                take(|faults| &mut faults.truncate_next, engine_answer::StreamFault::Truncate)
+            })
+            .or_else(|| take(|faults| &mut faults.cross_next, engine_answer::StreamFault::Cross))
+            .or_else(|| take(|faults| &mut faults.stall_next, engine_answer::StreamFault::Stall))
     }
 
-    fn admit(&self) -> Option<RunningSlot> {
+    fn admit(&self) -> Option<engine_answer::RunningSlot> {
         let limit = self.limit().saturating_sub(self.faults.lock().busy);
-        let count = &self.running;
-        let former = count.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |now| {
-            (now < limit).then_some(now + 1)
-        });
-        former
-            .ok()
-            .map(|former| RunningSlot { running: Arc::clone(count), concurrency: former + 1 })
-    }
-
-    fn answer(
-        &self,
-        id: String,
-        body: &Value,
-        served: ServedVersion,
-        resume: u64,
-        fault: Option<StreamFault>,
-        slot: RunningSlot,
-    ) -> impl futures::Stream<Item = Result<Bytes, std::io::Error>> + Send + use<> {
-        let prompt = prompt_text(body);
-        let prefixes = prefix_index::prompt_prefixes(prompt.as_bytes());
-        self.cache.lock().take(&prefixes, &self.faults.lock().events);
-        let skill = if self.faults.lock().poor { 0.0 } else { self.options.skill };
-        let total = body["max_tokens"].as_u64().unwrap_or(self.options.answer_tokens).max(1);
-        let state = AnswerState {
-            engine: self.clone(),
-            id,
-            words: answer_words(&served, &prompt, skill, total),
-            served,
-            prompt_tokens: prompt.split_whitespace().count() as u64,
-            offset: resume,
-            fault,
-            ended: false,
-            _slot: slot,
-        };
-        stream::unfold(state, AnswerState::step)
+        engine_answer::RunningSlot::take(&self.running, limit)
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StreamFault {
-    Silent,
-    Truncate,
-    Cross,
-    Stall,
-}
-
-/// Counts one running request while it lives.
-struct RunningSlot {
-    running: Arc<AtomicU32>,
-    concurrency: u32,
-}
-
-impl Drop for RunningSlot {
-    fn drop(&mut self) {
-        self.running.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
-struct AnswerState {
-    engine: EngineStandin,
-    id: String,
-    served: ServedVersion,
-    words: Vec<String>,
-    prompt_tokens: u64,
-    offset: u64,
-    fault: Option<StreamFault>,
-    ended: bool,
-    _slot: RunningSlot,
-}
-
-impl AnswerState {
-    async fn step(mut self) -> Option<(Result<Bytes, std::io::Error>, Self)> {
-        if self.ended {
-            return None;
-        }
-        if self.fault == Some(StreamFault::Cross) {
-            self.fault = None;
-            let other = "f".repeat(32);
-            return Some((
-                Ok(token_event(&self.served.model, &other, self.offset, "crossed ")),
-                self,
-            ));
-        }
-        let total = self.words.len() as u64;
-        if self.offset >= total {
-            self.ended = true;
-            self.engine.answers.fetch_add(1, Ordering::SeqCst);
-            let event = end_event(&self.served.model, &self.id, self.prompt_tokens, total);
-            return Some((Ok(event), self));
-        }
-        if self.offset >= total / 2 {
-            match self.fault {
-                Some(StreamFault::Truncate) => return None,
-                Some(StreamFault::Stall) => std::future::pending::<()>().await,
-                _ => {}
-            }
-        }
-        if !self.engine.options.token_time.is_zero() {
-            tokio::time::sleep(self.engine.options.token_time).await;
-        }
-        let event = token_event(
-            &self.served.model,
-            &self.id,
-            self.offset,
-            &self.words[self.offset as usize],
-        );
-        self.offset += 1;
-        Some((Ok(event), self))
-    }
-}
-
-/// Text of the messages of a chat-completions body.
-fn prompt_text(body: &Value) -> String {
-    let messages = body["messages"].as_array();
-    let texts = messages.into_iter().flatten().filter_map(|message| message["content"].as_str());
-    texts.collect::<Vec<_>>().join("\n")
-}
-
-/// Words of an answer; the rating stand-in reads model and ability from them.
-fn answer_words(served: &ServedVersion, prompt: &str, skill: f64, total: u64) -> Vec<String> {
-    let good = rating::is_good(prompt, &served.model, skill);
-    let mark = if good { GOOD_MARK } else { POOR_MARK };
-    let rated = rating::answer_text(&served.model, skill);
-    let text = format!("{mark} {}/{} {rated}", served.model, served.version);
-    let mut words: Vec<String> = text.split_whitespace().map(|word| format!("{word} ")).collect();
-    words.extend((words.len() as u64..total).map(|index| format!("w{index} ")));
-    words.truncate(total as usize);
-    words
-}
-
-fn token_event(model: &str, id: &str, offset: u64, text: &str) -> Bytes {
-    let body = json!({
-        "id": id, "object": "chat.completion.chunk", "created": 0, "model": model,
-        "offset": offset,
-        "choices": [{ "index": 0, "delta": { "content": text }, "finish_reason": null }],
-    });
-    Bytes::from(format!("data: {body}\n\n"))
-}
-
-fn end_event(model: &str, id: &str, prompt_tokens: u64, completion_tokens: u64) -> Bytes {
-    let body = json!({
-        "id": id, "object": "chat.completion.chunk", "created": 0, "model": model,
-        "choices": [{ "index": 0, "delta": {}, "finish_reason": "stop" }],
-        "usage": { "prompt_tokens": prompt_tokens, "completion_tokens": completion_tokens },
-    });
-    Bytes::from(format!("data: {body}\n\n"))
-}
-
 fn refuse(response: &mut Response, status: StatusCode, proved_not_run: bool) {
     if proved_not_run {
         let _ = response.add_header("x-ran", "no", true);
--- a/src/standins/mod.rs
+++ b/src/standins/mod.rs
@@ -4,6 +4,8 @@
 
 pub mod control;
 pub mod engine;
+pub mod engine_answer;
+pub mod engine_orders;
 pub mod instance;
 pub mod kv;
 pub mod kv_http;
