Split the rollout system from the learning that it carries

Change: `held_rollouts` decides while the role is held, `node_learning` sends evidence and counts; the comment is corrected.

--- a/src/node_rollout.rs
+++ b/src/node_rollout.rs
@@ -2,28 +2,23 @@
 //!
 //! Every node sends its evidence to the first watcher of its data centre, which
 //! adds it up and sends it on to the holder. The states of the rollouts travel
-//! back as the answers. Counts of rated answers take the same way; the holder keeps
-//! their summary in the key-value service.
+//! back as the answers; `node_learning` sends them.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
-use tokio::time::Instant;
 
 use crate::event_catalogue::LogEvent;
 use crate::{
-    chat_job, config_snapshot, ids, kv_store, member_choice, node, node_config, node_orders,
-    peer_message, quality_table, records, replica_table, rollout_evidence, rollout_holder,
-    rollout_loads, rollout_stage,
+    chat_job, config_snapshot, held_rollouts, ids, kv_store, node, node_orders, peer_message,
+    records, replica_table, rollout_evidence, rollout_holder, rollout_loads, rollout_stage,
 };
 
 /// Time between two reports of evidence.
 const EVIDENCE_INTERVAL: Duration = Duration::from_secs(1);
-/// Most quality counts in one message, about 8 KB. A new node thus knows 640 cells after 10 s.
-const COUNT_ROWS: usize = 64;
 /// First-token time above which an answer counts as slow.
 pub const SLOW_FIRST_TOKEN: Duration = Duration::from_millis(460);
 
@@ -63,7 +58,7 @@
     collectors: Mutex<HashMap<ids::RolloutName, rollout_evidence::EvidenceCollector>>,
     sequence: Mutex<u64>,
     /// Process whose quality counts this node took over last, and their revision there.
-    known_counts: Mutex<Option<(ids::InstanceName, u64)>>,
+    pub known_counts: Mutex<Option<(ids::InstanceName, u64)>>,
 }
 
 impl RolloutView {
@@ -112,7 +107,8 @@
         self.collectors.lock().entry(rollout.clone()).or_default().take()
     }
 
-    fn next_sequence(&self) -> u64 {
+    /// Number for the next report of this node.
+    pub fn next_sequence(&self) -> u64 {
         let mut sequence = self.sequence.lock();
         *sequence += 1;
         *sequence
@@ -162,7 +158,7 @@
     ///
     /// A stopped version gets no further answers here, so that the stop is reported again
     /// every second: the holder compares the nodes that report it in one tick.
-    fn take_evidence(
+    pub fn take_evidence(
         &self,
         rollout: &records::rollout::RolloutRecord,
     ) -> (rollout_evidence::EvidenceBlock, BTreeSet<ids::InstanceName>) {
@@ -174,7 +170,7 @@
     }
 
     /// Whether engines are still to load the version for the present stage of a rollout.
-    fn loads_missing(
+    pub fn loads_missing(
         &self,
         record: &records::rollout::RolloutRecord,
         state: &rollout_stage::RolloutState,
@@ -202,7 +198,7 @@
     pub async fn run_rollouts(self: Arc<Self>) {
         let store: Arc<dyn kv_store::KvStore> = Arc::clone(&self.options.store);
         let mut holder = rollout_holder::RolloutHolder::new(store, self.process.clone());
-        let mut held = HeldRollouts::default();
+        let mut held = held_rollouts::HeldRollouts::default();
         let mut ticks = tokio::time::interval(EVIDENCE_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -222,7 +218,7 @@
     async fn tick_rollouts(
         &self,
         holder: &mut rollout_holder::RolloutHolder,
-        held: &mut HeldRollouts,
+        held: &mut held_rollouts::HeldRollouts,
     ) {
         let snapshot = self.snapshot.load_full();
         if snapshot.rollouts.is_empty() {
@@ -258,93 +254,7 @@
         }
     }
 
-    /// Sends evidence and quality counts, and takes over what the receiver knows.
-    async fn send_learning(&self, snapshot: &config_snapshot::ConfigSnapshot) {
-        let Some(peer) = self.evidence_target().await else { return };
-        let evidence = snapshot.rollouts.values().map(|rollout| {
-            let (block, stopped) = self.take_evidence(rollout);
-            rollout_evidence::EvidenceReport {
-                rollout: rollout.name.clone(),
-                sender: self.process.clone(),
-                sequence: self.rollouts.next_sequence(),
-                block,
-                stopped,
-            }
-        });
-        let report = peer_message::LearningReport {
-            evidence: evidence.collect(),
-            counts: self.quality.lock().take_unsent_page(COUNT_ROWS),
-            known: self.rollouts.known_counts.lock().clone(),
-        };
-        let sent = self.peers.send_evidence(peer, node_config::SPREAD_LIMIT, &report).await;
-        match sent {
-            Ok(reply) => {
-                self.adopt_states(reply.states);
-                self.quality.lock().adopt(reply.counts);
-                *self.rollouts.known_counts.lock() = Some((reply.process, reply.revision));
-            }
-            Err(error) if !error.may_have_run() => {
-                for evidence in &report.evidence {
-                    self.rollouts.record(evidence);
-                }
-                self.quality.lock().restore_unsent(report.counts);
-            }
-            // Evidence may have arrived; counting it twice could roll back a good version.
-            Err(_) => metrics::counter!("yuccareel_evidence_lost_total").increment(1),
-        }
-    }
-
-    /// Takes a report of another node; the reply holds what changed here since its last one.
-    pub fn take_learning(
-        &self,
-        report: peer_message::LearningReport,
-    ) -> peer_message::LearningReply {
-        for evidence in &report.evidence {
-            self.rollouts.record(evidence);
-        }
-        let mut table = self.quality.lock();
-        table.relay(report.counts);
-        let known = report.known.filter(|(process, _)| *process == self.process);
-        let known = known.map_or(0, |(_, revision)| revision);
-        let (counts, revision) = table.changed_since(known, COUNT_ROWS);
-        let states = (**self.rollouts.states.load()).clone();
-        peer_message::LearningReply { states, process: self.process.clone(), counts, revision }
-    }
-
-    /// Writes the next changed part of the quality summary; false when none was written.
-    async fn write_summary_part(&self, holder: &mut rollout_holder::RolloutHolder) -> bool {
-        let taken = {
-            let mut table = self.quality.lock();
-            table.take_unwritten().map(|part| (part, table.export(part)))
-        };
-        let Some((part, rows)) = taken else { return false };
-        let written = holder.write_summary(part, &rows).await.is_ok();
-        if !written {
-            self.quality.lock().restore_unwritten(part);
-        }
-        written
-    }
-
-    /// First watcher of the data centre, or the holder when this node is that watcher.
-    async fn evidence_target(&self) -> Option<std::net::SocketAddr> {
-        let first = {
-            let table = self.members.lock();
-            let watchers = member_choice::watchers(&table, self.clock(), &self.options.data_centre);
-            watchers.first().map(|name| ids::InstanceName::from(*name))
-        };
-        match first {
-            Some(name) if name != self.options.name => self.peer_address(&name),
-            _ => {
-                let found = self.options.store.get(rollout_holder::HOLDER_KEY).await;
-                let entry = found.ok().flatten()?;
-                let process = String::from_utf8_lossy(&entry.value).into_owned();
-                let name = crate::bill_batch::instance_name(&process);
-                (*name != *self.options.name).then(|| self.peer_address(name)).flatten()
-            }
-        }
-    }
-
-    /// Takes the states that the holder wrote; ended rollouts forget their local stops.
+    /// Takes the states that the holder wrote.
     pub fn adopt_states(&self, states: peer_message::RolloutStates) {
         let former = self.rollouts.states.load();
         if **former == states {
@@ -353,111 +263,3 @@
         self.rollouts.states.store(Arc::new(states));
     }
 }
-
-/// Rollouts that this node decides on while it holds the role.
-#[derive(Default)]
-struct HeldRollouts {
-    token: ids::FencingToken,
-    stored: BTreeMap<ids::RolloutName, rollout_holder::StoredState>,
-    /// Rollouts at the last deletion of the states of all others.
-    cleaned: Option<BTreeSet<ids::RolloutName>>,
-    last_tick: Option<Instant>,
-    /// Parts of the quality summary that were read since the role was taken.
-    parts_read: u64,
-}
-
-impl HeldRollouts {
-    fn clear(&mut self) {
-        *self = Self::default();
-    }
-
-    /// Reads the quality summary once; true when the whole of it was read.
-    ///
-    /// A part is written only after it was read, so that a new holder does not erase it.
-    async fn load_summary(&mut self, node: &node::Node) -> bool {
-        while self.parts_read < quality_table::SUMMARY_PARTS {
-            let store = node.options.store.as_ref();
-            match rollout_holder::read_summary(store, self.parts_read).await {
-                Ok(rows) => node.quality.lock().import(rows),
-                // An unreadable part is written anew.
-                Err(rollout_holder::HolderError::Unreadable { .. }) => {}
-                Err(_) => return false,
-            }
-            self.parts_read += 1;
-        }
-        true
-    }
-
-    fn states(&self) -> peer_message::RolloutStates {
-        self.stored.iter().map(|(name, stored)| (name.clone(), stored.state.clone())).collect()
-    }
-
-    async fn step_all(
-        &mut self,
-        node: &node::Node,
-        holder: &mut rollout_holder::RolloutHolder,
-        token: ids::FencingToken,
-        snapshot: &config_snapshot::ConfigSnapshot,
-    ) {
-        if self.token != token {
-            self.clear();
-            self.token = token;
-        }
-        let now = Instant::now();
-        let elapsed = self.last_tick.map_or(Duration::ZERO, |last| now.duration_since(last));
-        self.last_tick = Some(now);
-        self.stored.retain(|name, _| snapshot.rollouts.contains_key(name));
-        let names: BTreeSet<_> = snapshot.rollouts.keys().cloned().collect();
-        if self.cleaned.as_ref() != Some(&names)
-            && holder.delete_removed(&snapshot.rollouts).await.is_ok()
-        {
-            self.cleaned = Some(names);
-        }
-        for record in snapshot.rollouts.values() {
-            self.step(node, holder, record, elapsed).await;
-        }
-    }
-
-    async fn step(
-        &mut self,
-        node: &node::Node,
-        holder: &mut rollout_holder::RolloutHolder,
-        record: &records::rollout::RolloutRecord,
-        elapsed: Duration,
-    ) {
-        let fresh =
-            self.stored.get(&record.name).is_none_or(|stored| !stored.state.belongs_to(record));
-        if fresh {
-            let Ok(stored) = holder.read(record).await else { return };
-            self.stored.insert(record.name.clone(), stored);
-        }
-        let Some(stored) = self.stored.get_mut(&record.name) else { return };
-        let (block, stopped) = node.take_evidence(record);
-        let tick = rollout_stage::RolloutTick { elapsed, block, stopped_nodes: stopped.len() };
-        let to_active = node.snapshot.load().version_active(&record.model, &record.to);
-        let mut record = record.clone();
-        // Sessions of the next stage need the engines of this one.
-        record.paused |= node.loads_missing(&record, &stored.state);
-        let decided = holder.step(&record, to_active, &tick, stored).await;
-        match decided {
-            Ok(rollout_stage::RolloutDecision::Hold) => {}
-            Ok(decision) => {
-                let (label, event) = match decision {
-                    rollout_stage::RolloutDecision::RollBack(_) => {
-                        ("roll_back", LogEvent::RolloutRolledBack)
-                    }
-                    _ => ("advance", LogEvent::RolloutAdvanced),
-                };
-                let decision = format!("{decision:?}");
-                let rollout = record.name.to_string();
-                node.emit(event, slog::o!("rollout" => rollout, "decision" => decision));
-                metrics::counter!("yuccareel_rollout_decisions_total", "decision" => label)
-                    .increment(1);
-            }
-            Err(
-                rollout_holder::HolderError::RoleLost | rollout_holder::HolderError::Conflict(_),
-            ) => drop(self.stored.remove(&record.name)),
-            Err(_) => {}
-        }
-    }
-}
