Read the store less often where nothing waits for it

By the new counter of calls an instance made about 0.7 questions a second for the list of replicas, 20 for its own records while instances restart one after the other, and one call every 200 ms of each task while the store refuses.

Change: the list of replicas is read at 0.4 of the drain time of the settings instead of each 800 ms; the pause between reads of the own records doubles to 1 s while changes keep coming (a fixed second left an instance without a known peer when the store refused it: an existing test found that); pauses after failures double to 800 ms with a spread; evidence is reported less often in large fleets. Calls to the store have a counter, and one place that makes them.

--- a/src/relay/member_registry.rs
+++ b/src/relay/member_registry.rs
@@ -8,6 +8,7 @@
 
 use super::member_list::MemberEntry;
 use super::relay_node::{LifeStage, RelayNode};
+use super::retry_pause::RetryPause;
 use super::store_mirror;
 use crate::event_catalogue::LogEvent;
 use crate::ids;
@@ -18,24 +19,26 @@
 const LEASE_S: i64 = 3;
 /// Time between two renewals.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Keeps the entry until the instance leaves, then removes it.
 pub async fn run(node: Arc<RelayNode>) {
     let mut life = node.life();
+    let mut retry_pause = RetryPause::default();
     loop {
         if let LifeStage::Draining(_) = *life.borrow_and_update() {
             break;
         }
         let pause = match keep(&node).await {
-            Ok(()) => RENEWAL_INTERVAL,
+            Ok(()) => {
+                retry_pause.reset();
+                RENEWAL_INTERVAL
+            }
             Err(error) => {
                 node.emit(
                     LogEvent::KvFailed,
                     slog::o!("call" => "member", "error" => error.to_string()),
                 );
-                RETRY_PAUSE
+                retry_pause.after_failure()
             }
         };
         tokio::select! {
--- a/src/relay/relay_settings.rs
+++ b/src/relay/relay_settings.rs
@@ -39,6 +39,8 @@
     pub stop_grace: Duration,
     /// Longest time for which callers keep an answer of the directory.
     pub directory_ttl: Duration,
+    /// Time for which a leaving replica still takes calls after its entry says so.
+    pub replica_drain: Duration,
 }
 
 /// Settings of a relay instance.
--- a/src/relay/rollout_duty.rs
+++ b/src/relay/rollout_duty.rs
@@ -26,6 +26,11 @@
 const DUTY_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two reports without a failure; failures are reported at the next look.
 const REPORT_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Members from which the time between two reports grows with their number, so that the reports
+/// of all stay at about six writes a second.
+const REPORTING_MEMBERS: usize = 16;
+/// Longest time between two reports; a rollout is given some tens of seconds.
+const LONGEST_REPORT_INTERVAL: Duration = Duration::from_secs(10);
 /// Time between two readings of the reports by the holder.
 const READ_INTERVAL: Duration = Duration::from_millis(600);
 /// Longest random wait before a free duty is claimed, so that not all instances try at once.
@@ -183,7 +188,8 @@
         let last = self.published.get(service).filter(|last| last.order == order);
         let former = last.map_or(EvidenceBlock::default(), |last| last.block);
         let failed = bad_answers(&block.to) > bad_answers(&former.to);
-        let due = last.is_none_or(|last| now >= last.at + REPORT_INTERVAL);
+        let interval = report_interval(self.node.members.lock().len());
+        let due = last.is_none_or(|last| now >= last.at + interval);
         if block.to == former.to || !(failed || due) {
             return Ok(());
         }
@@ -385,6 +391,12 @@
     }
 }
 
+/// Time between two reports without a failure.
+pub fn report_interval(members: usize) -> Duration {
+    let factor = members.div_ceil(REPORTING_MEMBERS).max(1) as u32;
+    (REPORT_INTERVAL * factor).min(LONGEST_REPORT_INTERVAL)
+}
+
 fn bad_answers(evidence: &VersionEvidence) -> u64 {
     evidence.errors.max(evidence.slow)
 }
--- a/src/relay/store_mirror.rs
+++ b/src/relay/store_mirror.rs
@@ -12,22 +12,27 @@
 
 use super::change_feed::ChangeFeed as _;
 use super::member_list::MemberEntry;
+use super::read_pace::ReadPace;
 use super::relay_node::RelayNode;
 use super::replica_fleet::EntryChange;
+use super::retry_pause::RetryPause;
 use super::rollout_duty;
 use super::store_dialect::StoreSubject;
 use crate::event_catalogue::LogEvent;
 use crate::ids;
 use crate::kv_store::{KvEntry, KvError, KvEvent, KvStore as _};
 
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Time between two reads of the changes of the list of replicas. Each replica writes its entry
-/// about once a second; a watch without a pause would make a call for each of these writes. The
-/// pause is less than half of the shortest drain time.
-const REPLICA_PACE: Duration = Duration::from_millis(800);
-/// Time between two reads of the instances' own records.
-const OWN_PACE: Duration = Duration::from_millis(150);
+/// Part of the time for which leaving replicas take calls that passes between two reads of the
+/// list of replicas. Each replica writes its entry about once a second; a watch without a pause
+/// would make a call for each of these writes.
+const DRAIN_PART: f64 = 0.4;
+/// Shortest time between two reads of the instances' own records. A peer that joins must soon be
+/// known: it may be the only path to the store.
+const FIRST_OWN_PACE: Duration = Duration::from_millis(150);
+/// Longest time between two reads of the instances' own records. While many instances restart,
+/// each of them changes these records; the tightest bound on them is the five seconds of a
+/// rollback.
+const LONGEST_OWN_PACE: Duration = Duration::from_secs(1);
 /// Time without an answer after which entries may have lapsed in the store meanwhile.
 const OUTAGE_TIME: Duration = Duration::from_secs(1);
 /// Time for which a question for changes waits at the store. A channel that has fallen silent is
@@ -58,11 +63,13 @@
         }
     }
 
-    fn pace(self) -> Duration {
+    /// Pauses between two reads of the changes.
+    pub fn pace(self, replica_drain: Duration) -> ReadPace {
+        let replica_pace = replica_drain.mul_f64(DRAIN_PART);
         match self {
-            Self::Operators => Duration::ZERO,
-            Self::Replicas => REPLICA_PACE,
-            Self::Own => OWN_PACE,
+            Self::Operators => ReadPace::new(Duration::ZERO, Duration::ZERO),
+            Self::Replicas => ReadPace::new(replica_pace, replica_pace),
+            Self::Own => ReadPace::new(FIRST_OWN_PACE, LONGEST_OWN_PACE),
         }
     }
 }
@@ -74,6 +81,8 @@
     prefix: String,
     keys: BTreeSet<String>,
     failing_since: Option<Instant>,
+    pace: ReadPace,
+    retry_pause: RetryPause,
 }
 
 impl StoreMirror {
@@ -85,7 +94,16 @@
             MirrorScope::Own => OWN_PREFIX,
         };
         let prefix = prefix.to_owned();
-        Self { node, scope, prefix, keys: BTreeSet::new(), failing_since: None }
+        let pace = scope.pace(node.settings.bounds.replica_drain);
+        Self {
+            node,
+            scope,
+            prefix,
+            keys: BTreeSet::new(),
+            failing_since: None,
+            pace,
+            retry_pause: RetryPause::default(),
+        }
     }
 
     /// Follows the prefix until the process ends.
@@ -104,7 +122,7 @@
                     if matches!(error, KvError::Unreadable(_)) {
                         revision = None;
                     }
-                    tokio::time::sleep(RETRY_PAUSE).await;
+                    tokio::time::sleep(self.retry_pause.after_failure()).await;
                 }
             }
         }
@@ -133,7 +151,9 @@
     /// Applies the next changes; returns the revision up to which they go.
     async fn follow(&mut self, after: ids::KvRevision) -> Result<ids::KvRevision, KvError> {
         let node = self.node.clone();
+        let asked = Instant::now();
         let changes = node.store.changes(&self.prefix, after, CHANGE_WAIT).await?;
+        let waited = asked.elapsed();
         self.record_success();
         for change in &changes.events {
             self.apply(change);
@@ -141,7 +161,7 @@
         if self.scope == MirrorScope::Own && !changes.events.is_empty() {
             node.refresh_member_names();
         }
-        tokio::time::sleep(self.scope.pace()).await;
+        tokio::time::sleep(self.pace.after_read(waited)).await;
         Ok(changes.revision.max(after))
     }
 
@@ -190,6 +210,7 @@
     }
 
     fn record_success(&mut self) {
+        self.retry_pause.reset();
         let Some(since) = self.failing_since.take() else { return };
         let outage = since.elapsed();
         let fields = slog::o!(
--- a/src/relay/store_paths.rs
+++ b/src/relay/store_paths.rs
@@ -152,14 +152,19 @@
         }
     }
 
-    fn note<T>(
+    /// Makes a call on the path in use and counts its outcome for the choice of the path.
+    async fn call<'a, T>(
         &self,
-        outcome: Result<T, KvError>,
-        epoch: PathEpoch,
-        started: Instant,
+        name: &'static str,
+        call: impl FnOnce(Arc<dyn ChangeFeed>) -> BoxFuture<'a, Result<T, KvError>>,
     ) -> Result<T, KvError> {
+        let ((store, epoch), started) = (self.current(), Instant::now());
+        let outcome = call(store).await;
         // An answer that cannot be read came from a store that serves this instance.
-        let good = !matches!(&outcome, Err(error) if !matches!(error, KvError::Unreadable(_)));
+        let good = matches!(outcome, Ok(_) | Err(KvError::Unreadable(_)));
+        let result = if good { "answered" } else { "failed" };
+        metrics::counter!("yuccareel_store_calls_total", "call" => name, "outcome" => result)
+            .increment(1);
         self.record(good, epoch, started);
         outcome
     }
@@ -167,51 +172,30 @@
 
 impl KvStore for StorePaths {
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<KvEntry>, KvError>> {
-        async move {
-            let ((store, epoch), started) = (self.current(), Instant::now());
-            self.note(store.get(key).await, epoch, started)
-        }
-        .boxed()
+        self.call("get", move |store| async move { store.get(key).await }.boxed()).boxed()
     }
 
     fn range<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<KvRange, KvError>> {
-        async move {
-            let ((store, epoch), started) = (self.current(), Instant::now());
-            self.note(store.range(prefix).await, epoch, started)
-        }
-        .boxed()
+        self.call("range", move |store| async move { store.range(prefix).await }.boxed()).boxed()
     }
 
     fn commit(&self, transaction: KvTransaction) -> BoxFuture<'_, Result<KvOutcome, KvError>> {
-        async move {
-            let ((store, epoch), started) = (self.current(), Instant::now());
-            self.note(store.commit(transaction).await, epoch, started)
-        }
-        .boxed()
+        self.call("commit", |store| async move { store.commit(transaction).await }.boxed()).boxed()
     }
 
     fn grant_lease(&self, ttl_s: i64) -> BoxFuture<'_, Result<ids::LeaseId, KvError>> {
-        async move {
-            let ((store, epoch), started) = (self.current(), Instant::now());
-            self.note(store.grant_lease(ttl_s).await, epoch, started)
-        }
-        .boxed()
+        self.call("grant", move |store| async move { store.grant_lease(ttl_s).await }.boxed())
+            .boxed()
     }
 
     fn renew_lease(&self, lease: ids::LeaseId) -> BoxFuture<'_, Result<bool, KvError>> {
-        async move {
-            let ((store, epoch), started) = (self.current(), Instant::now());
-            self.note(store.renew_lease(lease).await, epoch, started)
-        }
-        .boxed()
+        self.call("renew", move |store| async move { store.renew_lease(lease).await }.boxed())
+            .boxed()
     }
 
     fn revoke_lease(&self, lease: ids::LeaseId) -> BoxFuture<'_, Result<(), KvError>> {
-        async move {
-            let ((store, epoch), started) = (self.current(), Instant::now());
-            self.note(store.revoke_lease(lease).await, epoch, started)
-        }
-        .boxed()
+        self.call("revoke", move |store| async move { store.revoke_lease(lease).await }.boxed())
+            .boxed()
     }
 
     fn watch<'a>(
@@ -219,11 +203,8 @@
         prefix: &'a str,
         after: ids::KvRevision,
     ) -> BoxFuture<'a, Result<BoxStream<'static, Result<KvEvent, KvError>>, KvError>> {
-        async move {
-            let ((store, epoch), started) = (self.current(), Instant::now());
-            self.note(store.watch(prefix, after).await, epoch, started)
-        }
-        .boxed()
+        self.call("watch", move |store| async move { store.watch(prefix, after).await }.boxed())
+            .boxed()
     }
 }
 
@@ -238,9 +219,14 @@
     ) -> BoxFuture<'a, Result<KvChanges, KvError>> {
         async move {
             let mut chosen = self.epoch.subscribe();
-            let ((store, epoch), started) = (self.current(), Instant::now());
+            let epoch = *chosen.borrow_and_update();
+            let asking = self.call("changes", move |store| {
+                async move { store.changes(prefix, after, wait).await }.boxed()
+            });
             tokio::select! {
-                outcome = store.changes(prefix, after, wait) => self.note(outcome, epoch, started),
+                // A call that itself leads to another path has its outcome, and that counts.
+                biased;
+                outcome = asking => outcome,
                 // The sender lives as long as the paths.
                 _ = chosen.wait_for(|now| *now != epoch) => {
                     Err(KvError::NoAnswer("another path was chosen".to_owned()))
--- /dev/null
+++ b/tests/store_load.rs
@@ -0,0 +1,108 @@
+//! Calls that one instance and a whole fleet make to the platform's store.
+
+use std::time::Duration;
+
+use yuccareel::relay::retry_pause::RetryPause;
+use yuccareel::relay::rollout_duty;
+use yuccareel::relay::store_mirror::MirrorScope;
+
+/// Writes a second that the store serves today, of which reports may take a half.
+const STORE_WRITES_PER_S: f64 = 400.0;
+
+struct ReportCase {
+    name: &'static str,
+    members: usize,
+    longest: Duration,
+}
+
+/// Guards against reports of evidence that take the store's writes in a large fleet, and against
+/// reports so rare that a rollout of some tens of seconds cannot be judged.
+#[test]
+fn reports_of_a_whole_fleet_leave_writes_for_others() {
+    let cases = [
+        ReportCase { name: "one instance", members: 0, longest: Duration::from_millis(2_500) },
+        ReportCase { name: "small fleet", members: 8, longest: Duration::from_millis(2_500) },
+        ReportCase { name: "grown fleet", members: 90, longest: Duration::from_secs(10) },
+        ReportCase { name: "full size", members: 1_300, longest: Duration::from_secs(10) },
+    ];
+    for ReportCase { name, members, longest } in cases {
+        let interval = rollout_duty::report_interval(members);
+        assert!(interval <= longest, "{name}: {interval:?}");
+        let writes_per_s = members as f64 / interval.as_secs_f64();
+        assert!(writes_per_s <= STORE_WRITES_PER_S / 2.0, "{name}: {writes_per_s} writes a second");
+    }
+}
+
+struct PaceCase {
+    name: &'static str,
+    scope: MirrorScope,
+    replica_drain: Duration,
+    /// Time that each read waits for a change.
+    waits: &'static [u64],
+    /// Bounds of the pauses after these reads, in milliseconds.
+    pauses_ms: &'static [std::ops::RangeInclusive<u128>],
+}
+
+/// Guards against a list of replicas that is read later than replicas leave, against orders of
+/// operators and joining peers that wait, and against calls for each of many restarts.
+#[test]
+fn reads_come_before_what_is_read_takes_effect_and_no_more_often() {
+    let cases = [
+        PaceCase {
+            name: "replicas that drain shortly",
+            scope: MirrorScope::Replicas,
+            replica_drain: Duration::from_millis(500),
+            waits: &[0, 0, 5_000],
+            pauses_ms: &[100..=250, 100..=250, 100..=250],
+        },
+        PaceCase {
+            name: "replicas that drain long",
+            scope: MirrorScope::Replicas,
+            replica_drain: Duration::from_secs(3),
+            waits: &[0, 0, 5_000],
+            pauses_ms: &[1_000..=1_500, 1_000..=1_500, 1_000..=1_500],
+        },
+        PaceCase {
+            name: "orders in quick succession",
+            scope: MirrorScope::Operators,
+            replica_drain: Duration::from_secs(3),
+            waits: &[0, 0, 0],
+            pauses_ms: &[0..=0, 0..=0, 0..=0],
+        },
+        PaceCase {
+            name: "a peer joins, then another",
+            scope: MirrorScope::Own,
+            replica_drain: Duration::from_secs(3),
+            waits: &[9_000, 10],
+            pauses_ms: &[0..=200, 0..=400],
+        },
+        PaceCase {
+            name: "many instances restart, then one",
+            scope: MirrorScope::Own,
+            replica_drain: Duration::from_secs(3),
+            waits: &[10, 10, 10, 10, 10, 3_000],
+            pauses_ms: &[0..=200, 0..=400, 0..=800, 900..=1_000, 900..=1_000, 0..=200],
+        },
+    ];
+    for PaceCase { name, scope, replica_drain, waits, pauses_ms } in cases {
+        let mut pace = scope.pace(replica_drain);
+        for (wait, bounds) in waits.iter().zip(pauses_ms) {
+            let pause = pace.after_read(Duration::from_millis(*wait)).as_millis();
+            assert!(bounds.contains(&pause), "{name}: {pause} ms after a wait of {wait} ms");
+        }
+    }
+}
+
+/// Guards against a fleet that calls a failing store ever as often, all instances at once, and
+/// against pauses that outlast its return.
+#[test]
+fn pauses_grow_differ_and_stay_short() {
+    let (mut first, mut second) = (RetryPause::default(), RetryPause::default());
+    let pauses: Vec<_> = (0..8).map(|_| first.after_failure()).collect();
+    assert!(pauses.iter().all(|pause| *pause <= Duration::from_secs(1)), "{pauses:?}");
+    assert!(pauses.iter().sum::<Duration>() >= Duration::from_secs(4), "{pauses:?}");
+    let others: Vec<_> = (0..8).map(|_| second.after_failure()).collect();
+    assert_ne!(pauses, others, "two instances call at the same moments");
+    first.reset();
+    assert!(first.after_failure() <= Duration::from_millis(250), "a success starts afresh");
+}
