Split the table of replicas; share the grace for lapsed entries

Functions that nothing called are gone. Names follow usual terms: suspected cold, last activity, preferred replica, health outcome. No change of behaviour; the tests of the table pass unchanged but for names.

--- a/src/relay/attempt_flow.rs
+++ b/src/relay/attempt_flow.rs
@@ -16,7 +16,7 @@
 use super::relay_config::CallKind;
 use super::relay_node::RelayNode;
 use super::replica_entry::ReplicaEntry;
-use super::replica_health::HealthSign;
+use super::replica_health::HealthOutcome;
 use super::stream_flow::StreamEnd;
 use crate::event_catalogue::LogEvent;
 use crate::http1::body_decoder::BodyFraming;
@@ -72,7 +72,7 @@
         let mut connection = match self.connect(job, &entry).await {
             Ok(connection) => connection,
             Err(error) => {
-                self.record_health(&entry, HealthSign::Unreachable, Some(&error));
+                self.record_health(&entry, HealthOutcome::Unreachable, Some(&error));
                 progress.runs += 1;
                 progress.sends += 1;
                 return Ok(AttemptEnd::NotRun(RetryReason::ConnectFailed));
@@ -221,7 +221,7 @@
         let (sent_at, objective) = (Instant::now(), job.route.objective);
         if job.route.kind == CallKind::Stream {
             tokio::time::sleep(objective.mul_f64(SILENT_PART)).await;
-            if self.fleet.lock().heard_since(&entry.name, sent_at) {
+            if self.fleet.lock().active_since(&entry.name, sent_at) {
                 tokio::time::sleep_until(sent_at + objective.mul_f64(FIRST_BYTE_PART)).await;
             }
         } else {
--- a/src/relay/attempt_outcome.rs
+++ b/src/relay/attempt_outcome.rs
@@ -8,7 +8,7 @@
 use super::call_job::CallJob;
 use super::relay_node::RelayNode;
 use super::replica_entry::ReplicaEntry;
-use super::replica_health::HealthSign;
+use super::replica_health::HealthOutcome;
 use crate::event_catalogue::LogEvent;
 use crate::http1::message_error::MessageError;
 use crate::retry_reason::RetryReason;
@@ -38,8 +38,8 @@
         waited: Duration,
     ) -> RetryReason {
         let (sign, reason) = match error {
-            MessageError::TimedOut => (HealthSign::Silent, RetryReason::ProgressTimeout),
-            _ => (HealthSign::Cut, RetryReason::StreamTruncated),
+            MessageError::TimedOut => (HealthOutcome::Silent, RetryReason::ProgressTimeout),
+            _ => (HealthOutcome::Cut, RetryReason::StreamTruncated),
         };
         self.record_health(entry, sign, Some(error));
         self.record_evidence(job, entry, true, waited);
@@ -54,7 +54,7 @@
         failed: bool,
         waited: Duration,
     ) {
-        let sign = if failed { HealthSign::Failure } else { HealthSign::Good };
+        let sign = if failed { HealthOutcome::Failure } else { HealthOutcome::Good };
         self.record_health(entry, sign, None);
         self.record_evidence(job, entry, failed, waited);
     }
@@ -70,10 +70,10 @@
     pub(super) fn record_health(
         &self,
         entry: &ReplicaEntry,
-        sign: HealthSign,
+        sign: HealthOutcome,
         error: Option<&MessageError>,
     ) {
-        if matches!(sign, HealthSign::Silent | HealthSign::Unreachable) {
+        if matches!(sign, HealthOutcome::Silent | HealthOutcome::Unreachable) {
             self.pool.lock().forget(entry.address);
         }
         if self.fleet.lock().record_health(&entry.name, sign, Instant::now()) {
--- a/src/relay/call_failure.rs
+++ b/src/relay/call_failure.rs
@@ -3,7 +3,7 @@
 use rand::RngExt as _;
 
 use super::call_job::CallProgress;
-use super::replica_fleet::ChoiceRefusal;
+use super::replica_choice::ChoiceRefusal;
 use crate::error_body::{RequestRefusal, RunState};
 use crate::refusal_reason::RefusalReason;
 
--- a/src/relay/call_job.rs
+++ b/src/relay/call_job.rs
@@ -10,7 +10,7 @@
 
 use super::call_request::CallRequest;
 use super::relay_config::{CustomerRow, RouteRow};
-use super::replica_fleet::ReplicaChoice;
+use super::replica_choice::ReplicaChoice;
 use crate::http1::request_head::RequestHead;
 use crate::http1::response_head::ResponseHead;
 use crate::ids;
--- a/src/relay/member_list.rs
+++ b/src/relay/member_list.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use super::lapse_grace::LapseGrace;
 use crate::ids;
 
 /// Time after a return of the store for which members that lapsed are kept. Members that live
@@ -35,16 +36,22 @@
 }
 
 /// Instances that live.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct MemberList {
     rows: BTreeMap<ids::InstanceName, MemberRow>,
-    store_returned: Option<Instant>,
+    grace: LapseGrace,
+}
+
+impl Default for MemberList {
+    fn default() -> Self {
+        Self { rows: BTreeMap::new(), grace: LapseGrace::new(LAPSE_GRACE) }
+    }
 }
 
 impl MemberList {
     /// Notes that the store answers again after an outage.
     pub fn store_returned(&mut self, now: Instant) {
-        self.store_returned = Some(now);
+        self.grace.store_returned(now);
     }
 
     /// Adds or replaces a member; returns whether it is new.
@@ -64,8 +71,7 @@
 
     /// Removes a member whose entry is gone; returns whether it is gone now.
     pub fn remove(&mut self, name: &str, now: Instant) -> bool {
-        let grace = self.store_returned.map(|at| at + LAPSE_GRACE).filter(|until| now < *until);
-        match (grace, self.rows.get_mut(name)) {
+        match (self.grace.until(now), self.rows.get_mut(name)) {
             (Some(until), Some(row)) => {
                 row.lapses_at = Some(until);
                 false
@@ -76,13 +82,8 @@
 
     /// Drops members whose grace has passed; returns their names.
     pub fn drop_lapsed(&mut self, now: Instant) -> Vec<ids::InstanceName> {
-        let lapsed = |row: &MemberRow| row.lapses_at.is_some_and(|at| now >= at);
-        let gone: Vec<_> =
-            self.rows.iter().filter(|(_, row)| lapsed(row)).map(|(name, _)| name.clone()).collect();
-        for name in &gone {
-            self.rows.remove(name);
-        }
-        gone
+        let lapsed = |_: &_, row: &mut MemberRow| row.lapses_at.is_some_and(|at| now >= at);
+        self.rows.extract_if(.., lapsed).map(|(name, _)| name).collect()
     }
 
     /// Names of all members.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -4,7 +4,7 @@
 //! instance believes: configuration, replicas, members, rollouts. All of it is read from the
 //! platform's store and can be read again, so an instance keeps nothing.
 //!
-//! Pure modules decide: `attempt_budget`, `cold_budget`, `cascade_plan`, `replica_fleet`,
+//! Pure modules decide: `attempt_budget`, `cold_budget`, `cascade_plan`, `replica_score`,
 //! `rollout_plan`, `event_splitter`. Edges call them: `caller_server`, `entry_server`,
 //! `call_flow`, `store_mirror`, `member_registry`, `rollout_duty`. `call_dialect` and
 //! `store_dialect` are the traits that an adapter implements; nothing here knows the names that a
@@ -28,6 +28,7 @@
 pub mod connection_pool;
 pub mod entry_server;
 pub mod event_splitter;
+pub mod lapse_grace;
 pub mod log_limiter;
 pub mod member_list;
 pub mod member_registry;
@@ -36,9 +37,12 @@
 pub mod relay_node;
 pub mod relay_service;
 pub mod relay_settings;
+pub mod replica_choice;
 pub mod replica_entry;
 pub mod replica_fleet;
 pub mod replica_health;
+mod replica_row;
+mod replica_score;
 pub mod retry_pause;
 pub mod rollout_duty;
 pub mod rollout_plan;
@@ -48,3 +52,4 @@
 pub mod store_paths;
 pub mod store_tunnel;
 pub mod stream_flow;
+pub mod version_rule;
--- a/src/relay/replica_health.rs
+++ b/src/relay/replica_health.rs
@@ -20,7 +20,7 @@
 
 /// End of one attempt as the judgement counts it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HealthSign {
+pub enum HealthOutcome {
     /// Whole answer.
     Good,
     /// Answer that tells of a failure.
@@ -66,10 +66,10 @@
     }
 
     /// Counts the end of an attempt; returns whether the replica is avoided from now on.
-    pub fn record(&mut self, sign: HealthSign, now: Instant) -> bool {
-        let bad = sign != HealthSign::Good;
+    pub fn record(&mut self, sign: HealthOutcome, now: Instant) -> bool {
+        let bad = sign != HealthOutcome::Good;
         self.failure_share += (f64::from(u8::from(bad)) - self.failure_share) * FAILURE_WEIGHT;
-        let silent = matches!(sign, HealthSign::Silent | HealthSign::Unreachable);
+        let silent = matches!(sign, HealthOutcome::Silent | HealthOutcome::Unreachable);
         self.silent_in_row = if silent { self.silent_in_row + 1 } else { 0 };
         if !bad {
             if self.avoided_until.take().is_some() {
--- a/src/relay/rollout_duty.rs
+++ b/src/relay/rollout_duty.rs
@@ -13,10 +13,10 @@
 use tokio::time::Instant;
 
 use super::relay_node::{LifeStage, RelayNode};
-use super::replica_fleet::VersionRule;
 use super::rollout_plan::{self, RolloutPhase, RolloutView};
 use super::rollout_table::{EvidenceRecord, RolloutRecord, RolloutRow};
 use super::store_dialect::{RolloutOrder, RolloutStatus};
+use super::version_rule::VersionRule;
 use crate::event_catalogue::LogEvent;
 use crate::ids;
 use crate::kv_store::{KvCompare, KvEntry, KvError, KvOperation, KvStore as _, KvTransaction};
--- a/src/relay/rollout_table.rs
+++ b/src/relay/rollout_table.rs
@@ -6,9 +6,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use super::replica_fleet::VersionRule;
 use super::rollout_plan::{self, RolloutPhase};
 use super::store_dialect::RolloutOrder;
+use super::version_rule::VersionRule;
 use crate::ids;
 use crate::rollout_evidence::{EvidenceBlock, VersionEvidence};
 
--- a/src/relay/stream_flow.rs
+++ b/src/relay/stream_flow.rs
@@ -68,7 +68,7 @@
             }
             guard.first_byte();
             let name = &guard.choice().entry.name;
-            self.fleet.lock().record_sign_of_life(name, tokio::time::Instant::now());
+            self.fleet.lock().record_activity(name, tokio::time::Instant::now());
             while let Some(event) = splitter.next_event() {
                 write_event(progress, head, &event, writer).await?;
             }
--- a/tests/relay_rollout.rs
+++ b/tests/relay_rollout.rs
@@ -4,10 +4,10 @@
 
 use tokio::time::Instant;
 use yuccareel::ids;
-use yuccareel::relay::replica_fleet::VersionRule;
 use yuccareel::relay::rollout_plan::{RolloutPhase, RolloutView, next_phase, takes_target};
 use yuccareel::relay::rollout_table::{EvidenceRecord, RolloutRecord, RolloutTable};
 use yuccareel::relay::store_dialect::RolloutOrder;
+use yuccareel::relay::version_rule::VersionRule;
 use yuccareel::rollout_evidence::{EvidenceBlock, VersionEvidence};
 
 const DURATIONS_S: [u64; 4] = [12, 16, 24, 60];
--- a/tests/replica_fleet.rs
+++ b/tests/replica_fleet.rs
@@ -9,11 +9,11 @@
 use yuccareel::relay::call_dialect::ReplicaLoad;
 use yuccareel::relay::call_request::PromptPart;
 use yuccareel::relay::cold_budget::ColdBound;
+use yuccareel::relay::replica_choice::{ChoiceContext, ChoiceRefusal, ChoiceRequest};
 use yuccareel::relay::replica_entry::{EntryState, ReplicaEntry};
-use yuccareel::relay::replica_fleet::{
-    ChoiceContext, ChoiceRefusal, ChoiceRequest, EntryChange, ReplicaFleet, VersionRule,
-};
-use yuccareel::relay::replica_health::HealthSign;
+use yuccareel::relay::replica_fleet::{EntryChange, ReplicaFleet};
+use yuccareel::relay::replica_health::HealthOutcome;
+use yuccareel::relay::version_rule::VersionRule;
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -176,7 +176,7 @@
         DoubtCase {
             name: "connection refused once",
             doubt: |world| {
-                world.fleet.record_health("r", HealthSign::Unreachable, world.now);
+                world.fleet.record_health("r", HealthOutcome::Unreachable, world.now);
             },
         },
         DoubtCase {
@@ -256,7 +256,7 @@
 /// again.
 #[test]
 fn sick_replicas_are_avoided_and_tried_again() {
-    for sign in [HealthSign::Failure, HealthSign::Cut, HealthSign::Silent] {
+    for sign in [HealthOutcome::Failure, HealthOutcome::Cut, HealthOutcome::Silent] {
         let far = ReplicaEntry { data_centre: "b".into(), ..entry("far") };
         let mut world = World::new(&[entry("near"), far]);
         assert_eq!(world.choose().as_deref(), Ok("near"));
@@ -266,9 +266,9 @@
         assert_eq!(world.choose().as_deref(), Ok("far"), "{sign:?}");
         world.fleet.finish("far");
         world.now += ms(6_000);
-        world.fleet.record_health("near", HealthSign::Good, world.now);
+        world.fleet.record_health("near", HealthOutcome::Good, world.now);
         for _ in 0..20 {
-            world.fleet.record_health("near", HealthSign::Good, world.now);
+            world.fleet.record_health("near", HealthOutcome::Good, world.now);
         }
         assert_eq!(world.choose().as_deref(), Ok("near"), "{sign:?}");
     }
