Place calls of the largest model by the loads that replicas tell

One of 79 instances sees few answers of each of 90 replicas, and placed long prompts behind others.

Requests that wait for their first token weigh as prompts that are still read. The last line of a call states the load and its age.

--- a/src/event_catalogue.rs
+++ b/src/event_catalogue.rs
@@ -62,6 +62,7 @@
     ReplicaStarted = 340 Info "replica_started" "replica or a new process of it is in the list";
     ReplicaDraining = 341 Info "replica_draining" "replica is leaving and gets no new work";
     ReplicaRemoved = 342 Info "replica_removed" "entry of a replica is gone from the list";
+    LoadUnknown = 343 Debug "load_unknown" "replica did not tell its load; what is known decides";
     KvFailed = 401 Warning "kv_failed" "key-value service failed";
     StoreLost = 402 Warning "store_lost" "store does not answer; what is known stays in use";
     StoreReturned = 403 Info "store_returned" "store answers again";
--- a/src/relay/attempt_flow.rs
+++ b/src/relay/attempt_flow.rs
@@ -253,7 +253,8 @@
         })
     }
 
-    fn keep(&self, mut connection: ClientConnection, head: &ResponseHead) {
+    /// Keeps a connection whose answer is complete for another request.
+    pub(super) fn keep(&self, mut connection: ClientConnection, head: &ResponseHead) {
         connection.rest(head.keep_alive_s().map(Duration::from_secs));
         self.pool.lock().put(connection);
     }
--- a/src/relay/call_dialect.rs
+++ b/src/relay/call_dialect.rs
@@ -34,8 +34,6 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
-    /// Requests that may run at once.
-    pub slots: u32,
 }
 
 /// What the head of a replica's answer says.
@@ -105,6 +103,12 @@
     /// Reads what a replica says in the head of its answer.
     fn read_signs(&self, head: &ResponseHead) -> AnswerSigns;
 
+    /// Writes the question for the load of a replica at an address.
+    fn write_load_question(&self, address: SocketAddr) -> Vec<u8>;
+
+    /// Reads the answer to that question.
+    fn read_load(&self, body: &[u8]) -> Option<ReplicaLoad>;
+
     /// Reads a call at an address of the router itself.
     fn read_entry_call(&self, head: &RequestHead) -> EntryCall;
 
--- a/src/relay/call_flow.rs
+++ b/src/relay/call_flow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::attempt_budget::RepeatCause;
@@ -16,6 +17,7 @@
 use super::relay_config::CallKind;
 use super::relay_node::RelayNode;
 use super::replica_choice::{ChoiceRefusal, ChoiceRequest, ReplicaChoice};
+use super::replica_entry::ReplicaEntry;
 use super::rollout_table::VersionChoice;
 use super::version_rule::VersionRule;
 use crate::error_body::RequestRefusal;
@@ -258,6 +260,7 @@
         job: &CallJob,
         progress: &CallProgress,
     ) -> Result<ReplicaChoice, ChoiceRefusal> {
+        self.ask_loads(job, progress).await;
         let until = Instant::now() + job.route.objective.mul_f64(ROOM_WAIT_PART);
         loop {
             let refused = match self.choose(job, progress) {
@@ -298,6 +301,19 @@
         self.fleet.lock().occupied_choice(&request, &context)
     }
 
+    /// Replicas whose loads decide where a call is placed, and are not known.
+    pub(super) fn loads_to_ask(
+        &self,
+        job: &CallJob,
+        progress: &CallProgress,
+    ) -> SmallVec<[Arc<ReplicaEntry>; 4]> {
+        let versions = self.versions(job);
+        let members = self.member_names();
+        let context = self.choice_context(&members);
+        let request = choice_request(job, &versions.first, progress.model, &progress.tried);
+        self.fleet.lock().loads_to_ask(&request, &context)
+    }
+
     fn versions(&self, job: &CallJob) -> VersionChoice {
         let session = job.call.session.as_ref().map(|key| String::from_utf8_lossy(key));
         let id = job.call.id_text();
--- a/src/relay/call_log.rs
+++ b/src/relay/call_log.rs
@@ -90,6 +90,8 @@
         "entry_age_ms" => choice.map(|choice| choice.entry_age.as_millis() as u64),
         "candidates" => choice.map(|choice| choice.candidates),
         "cold" => choice.map(|choice| choice.cold),
+        "waiting" => choice.map(|choice| choice.waiting),
+        "load_age_ms" => choice.and_then(|choice| choice.load_age).map(|age| age.as_millis() as u64),
         "work_tokens" => choice.map(|choice| choice.work_tokens),
     )
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -29,6 +29,7 @@
 pub mod entry_server;
 pub mod event_splitter;
 pub mod lapse_grace;
+mod load_question;
 pub mod log_limiter;
 pub mod member_list;
 pub mod member_registry;
--- a/src/relay/replica_choice.rs
+++ b/src/relay/replica_choice.rs
@@ -14,6 +14,9 @@
 use super::version_rule::VersionRule;
 use crate::ids;
 
+/// Weight up to which a model counts as small.
+const SMALL_MODEL_WEIGHT: f64 = 0.5;
+
 /// Why no replica was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChoiceRefusal {
@@ -76,6 +79,10 @@
     pub work: f64,
     /// Replicas among which it was chosen.
     pub candidates: usize,
+    /// Requests that wait at it for their first token.
+    pub waiting: u32,
+    /// Age of what it told of its load; none if it told nothing.
+    pub load_age: Option<Duration>,
     /// Whether it counts as cold.
     pub cold: bool,
     /// Age of its entry.
@@ -83,6 +90,11 @@
 }
 
 impl ChoiceRequest<'_> {
+    /// Whether the model is one of those that read a prompt in a short time.
+    pub fn small_model(&self) -> bool {
+        self.model_weight <= SMALL_MODEL_WEIGHT
+    }
+
     /// Keys and tokens of the shared starts of a prompt, each including those before it.
     pub fn prompt_keys(&self) -> SmallVec<[(u64, u32); 4]> {
         let mut chain = self.model.map_or(0, |model| xxh3::xxh3_64(model.as_bytes()));
--- a/src/relay/replica_fleet.rs
+++ b/src/relay/replica_fleet.rs
@@ -16,10 +16,15 @@
 use super::replica_entry::{EntryState, ReplicaEntry};
 use super::replica_health::HealthOutcome;
 use super::replica_row::ReplicaRow;
-use super::replica_score::{pick_cold, pick_warm};
+use super::replica_score;
 use super::version_rule::VersionRule;
 use crate::ids;
 
+/// Work of a call from which the loads of the best replicas are asked for, in prompt tokens of the
+/// largest model: about the work that one waiting request may add is not risked for less.
+const ASKED_WORK: f64 = 600.0;
+/// Replicas whose loads are compared for one call.
+const CONTENDERS: usize = 3;
 /// Time after a return of the store for which replicas that lapsed are kept. Most of those that
 /// live are in the list again by then; one that left meanwhile may serve for 2 s only.
 const LAPSE_GRACE: Duration = Duration::from_millis(1_600);
@@ -142,6 +147,7 @@
         let work_tokens = row.uncached_tokens(request, &prompts, context.now) as u32;
         let cold = row.cold(context.now, request.cold_rate_per_s);
         let work = f64::from(work_tokens) * request.model_weight;
+        let (waiting, load_age) = (row.waiting(context.now), row.load_age(context.now));
         row.count_send(work, &prompts, cold, context.now);
         Ok(ReplicaChoice {
             entry: row.entry.clone(),
@@ -149,6 +155,8 @@
             work,
             candidates,
             cold,
+            waiting,
+            load_age,
             entry_age: context.now.saturating_duration_since(row.seen_at),
         })
     }
@@ -163,24 +171,53 @@
         self.rows.get(&name).map(|row| row.occupied(context.now))
     }
 
-    fn pick(
+    /// Best replicas for a call with much work, as far as their loads are not known well enough to
+    /// choose among them.
+    pub fn loads_to_ask(
         &self,
         request: &ChoiceRequest<'_>,
         context: &ChoiceContext<'_>,
-    ) -> Result<(ids::ReplicaName, usize), ChoiceRefusal> {
+    ) -> SmallVec<[Arc<ReplicaEntry>; 4]> {
+        let work = f64::from(request.prompt_tokens) * request.model_weight;
+        if request.model.is_none() || request.small_model() || work < ASKED_WORK {
+            return SmallVec::new();
+        }
+        let usable = self.candidates(request, context);
+        let best = replica_score::best_warm(&usable, request, context, CONTENDERS);
+        // Without a choice there is nothing to compare.
+        let best = best.ok().filter(|best| best.len() > 1).unwrap_or_default();
+        let unknown = best.iter().filter(|row| !row.load_known(context.now));
+        unknown.map(|row| row.entry.clone()).collect()
+    }
+
+    /// Replicas that may run a call; those that lapsed only where there are no others.
+    fn candidates(
+        &self,
+        request: &ChoiceRequest<'_>,
+        context: &ChoiceContext<'_>,
+    ) -> SmallVec<[&ReplicaRow; 32]> {
         let mut usable: SmallVec<[&ReplicaRow; 32]> = SmallVec::new();
         usable.extend(self.rows.values().filter(|row| self.matches(row, request, context)));
         if usable.iter().any(|row| row.lapses_at.is_none()) {
             usable.retain(|row| row.lapses_at.is_none());
         }
+        usable
+    }
+
+    fn pick(
+        &self,
+        request: &ChoiceRequest<'_>,
+        context: &ChoiceContext<'_>,
+    ) -> Result<(ids::ReplicaName, usize), ChoiceRefusal> {
+        let usable = self.candidates(request, context);
         if usable.is_empty() {
             return Err(ChoiceRefusal::NoReplica);
         }
-        let full = match pick_warm(&usable, request, context) {
-            Ok(name) => return Ok((name, usable.len())),
+        let full = match replica_score::best_warm(&usable, request, context, 1) {
+            Ok(best) => return Ok((best[0].entry.name.clone(), usable.len())),
             Err(refusal) => refusal == ChoiceRefusal::Full,
         };
-        let cold = pick_cold(&usable, request, context);
+        let cold = replica_score::pick_cold(&usable, request, context);
         let cold = cold.map_err(|refusal| if full { ChoiceRefusal::Full } else { refusal });
         cold.map(|name| (name, usable.len()))
     }
--- a/src/relay/replica_row.rs
+++ b/src/relay/replica_row.rs
@@ -14,6 +14,8 @@
 
 /// Time for which a load that a replica told of itself is used.
 const LOAD_LIFETIME: Duration = Duration::from_secs(2);
+/// Age of a load up to which a replica is not asked for it again: its own report is as old.
+const LOAD_FRESHNESS: Duration = Duration::from_millis(150);
 /// Time for which a prompt is assumed to stay in the cache of a replica.
 const PROMPT_LIFETIME: Duration = Duration::from_secs(30);
 /// Most prompts remembered for one replica.
@@ -79,10 +81,28 @@
     /// Requests that the replica is expected to hold now.
     pub(super) fn occupied(&self, now: Instant) -> u32 {
         let told = self.load.filter(|(_, at)| now < *at + LOAD_LIFETIME);
-        let told = told.map_or(0, |(load, _)| load.running + load.waiting + self.sent_since_load);
+        let told = told.map_or(0, |(load, _)| {
+            load.running.saturating_add(load.waiting).saturating_add(self.sent_since_load)
+        });
         told.max(self.in_flight)
     }
 
+    /// Age of what it told of its load.
+    pub(super) fn load_age(&self, now: Instant) -> Option<Duration> {
+        self.load.map(|(_, at)| now.saturating_duration_since(at))
+    }
+
+    /// Whether its load was told so lately that another question would say the same.
+    pub(super) fn load_known(&self, now: Instant) -> bool {
+        self.load_age(now).is_some_and(|age| age < LOAD_FRESHNESS)
+    }
+
+    /// Requests that wait for their first token, as the replica told lately.
+    pub(super) fn waiting(&self, now: Instant) -> u32 {
+        let told = self.load.filter(|(_, at)| now < *at + LOAD_LIFETIME);
+        told.map_or(0, |(load, _)| load.waiting)
+    }
+
     /// Tokens of a prompt that it does not hold, as far as this instance has sent them.
     pub(super) fn uncached_tokens(
         &self,
@@ -93,7 +113,8 @@
         let known =
             |key: &u64| self.prompts.get(key).is_some_and(|used| now < *used + PROMPT_LIFETIME);
         let held = prompts.iter().take_while(|(key, _)| known(key)).map(|(_, tokens)| *tokens);
-        (f64::from(request.prompt_tokens) - f64::from(held.sum::<u32>())).max(0.0)
+        let held: f64 = held.map(f64::from).sum();
+        (f64::from(request.prompt_tokens) - held).max(0.0)
     }
 
     /// Counts a call that is about to be sent.
--- a/src/relay/replica_score.rs
+++ b/src/relay/replica_score.rs
@@ -13,6 +13,9 @@
 /// Work of one running request, in prompt tokens of the largest model: it lengthens each step of
 /// the others.
 const RUNNING_WORK: f64 = 60.0;
+/// Work of one request that waits for its first token, in prompt tokens of the model that is
+/// called; most replicas serve one kind of model.
+const WAITING_WORK: f64 = 3_000.0;
 /// Work that a call to another data centre stands for, in prompt tokens of the largest model.
 const DISTANCE_WORK: f64 = 60.0;
 /// Work of reading a prompt token again beyond the time that it takes the model: the prompt
@@ -24,8 +27,6 @@
 /// Part of the replicas that small models have to themselves. A large model reads a long prompt
 /// for most of a second, and the short steps of small ones on the same replica wait for it.
 const SMALL_MODEL_PART: f64 = 0.2;
-/// Weight up to which a model counts as small.
-const SMALL_MODEL_WEIGHT: f64 = 0.5;
 /// Work for which a call of a small model leaves its part of the replicas, in prompt tokens of
 /// the largest model.
 const SMALL_LEAVES_WORK: f64 = 2_000.0;
@@ -46,12 +47,14 @@
     names.into_iter().take(part).collect()
 }
 
-/// Replica with the least expected work before the first byte, among those that are not cold.
-pub(super) fn pick_warm(
-    usable: &[&ReplicaRow],
+/// Replicas with the least expected work before the first byte, best first, among those that are
+/// not cold.
+pub(super) fn best_warm<'a>(
+    usable: &[&'a ReplicaRow],
     request: &ChoiceRequest<'_>,
     context: &ChoiceContext<'_>,
-) -> Result<ids::ReplicaName, ChoiceRefusal> {
+    most: usize,
+) -> Result<SmallVec<[&'a ReplicaRow; 4]>, ChoiceRefusal> {
     let now = context.now;
     let warm = || usable.iter().filter(|row| !row.cold(now, request.cold_rate_per_s));
     if warm().next().is_none() {
@@ -62,8 +65,8 @@
         return Err(ChoiceRefusal::Full);
     }
     let prompts = request.prompt_keys();
-    let shared: u32 = prompts.iter().map(|(_, tokens)| *tokens).sum();
-    let small_model = request.model_weight <= SMALL_MODEL_WEIGHT;
+    let shared: f64 = prompts.iter().map(|(_, tokens)| f64::from(*tokens)).sum();
+    let small_model = request.small_model();
     let small_part = small_model_replicas(warm().map(|row| &row.entry.name));
     let own_part = |name: &ids::ReplicaName| small_part.contains(&name) == small_model;
     let preferred = prompts.last().and_then(|(key, _)| {
@@ -80,7 +83,7 @@
         }
         let uncached = row.uncached_tokens(request, &prompts, now);
         let assumed = if preferred == Some(&row.entry.name) {
-            f64::from(request.prompt_tokens) - f64::from(shared) * PREFERRED_SHARE
+            f64::from(request.prompt_tokens) - shared * PREFERRED_SHARE
         } else {
             uncached
         };
@@ -92,16 +95,26 @@
             (false, true) => SMALL_LEAVES_WORK,
             (false, false) => LARGE_ENTERS_WORK,
         };
-        work + row.reading + occupied * RUNNING_WORK + distance + part
+        // Calls of this instance that the replica still reads are among those that wait.
+        let queued =
+            row.reading.max(f64::from(row.waiting(now)) * WAITING_WORK * request.model_weight);
+        work + queued + occupied * RUNNING_WORK + distance + part
     };
     let well = free().filter(|row| !row.health.avoided(now));
-    let best =
-        well.map(|row| (score(row), row)).min_by(|(left, _), (right, _)| left.total_cmp(right));
-    if let Some((_, row)) = best {
-        return Ok(row.entry.name.clone());
+    let mut best: SmallVec<[(f64, &ReplicaRow); 4]> = SmallVec::new();
+    for row in well {
+        let score = score(row);
+        let place = best.partition_point(|(other, _)| *other <= score);
+        if place < most {
+            best.truncate(most - 1);
+            best.insert(place, (score, row));
+        }
+    }
+    if !best.is_empty() {
+        return Ok(best.into_iter().map(|(_, row)| row).collect());
     }
     let soonest = free().min_by_key(|row| row.health.avoided_until());
-    soonest.map(|row| row.entry.name.clone()).ok_or(ChoiceRefusal::Full)
+    soonest.map(|row| smallvec::smallvec![*row]).ok_or(ChoiceRefusal::Full)
 }
 
 /// Cold replica to which this instance may send now.
--- a/tests/replica_fleet.rs
+++ b/tests/replica_fleet.rs
@@ -84,7 +84,11 @@
         }
     }
 
-    fn choose_call(&mut self, call: &CallNeeds) -> Result<String, ChoiceRefusal> {
+    fn with_call<T>(
+        &mut self,
+        call: &CallNeeds,
+        act: impl FnOnce(&mut ReplicaFleet, &ChoiceRequest<'_>, &ChoiceContext<'_>) -> T,
+    ) -> T {
         let service: ids::ServiceName = "pool".into();
         let (instance, data_centre) = ("me".into(), "a".into());
         let request = ChoiceRequest {
@@ -106,7 +110,21 @@
             cold: ColdBound { factor: 1.5, slack: 5.0 },
             now: self.now,
         };
-        self.fleet.choose(&request, &context).map(|choice| choice.entry.name.to_string())
+        act(&mut self.fleet, &request, &context)
+    }
+
+    fn choose_call(&mut self, call: &CallNeeds) -> Result<String, ChoiceRefusal> {
+        self.with_call(call, |fleet, request, context| {
+            fleet.choose(request, context).map(|choice| choice.entry.name.to_string())
+        })
+    }
+
+    /// Replicas that would be asked for their load before a call.
+    fn asked(&mut self, call: &CallNeeds) -> Vec<String> {
+        self.with_call(call, |fleet, request, context| {
+            let entries = fleet.loads_to_ask(request, context);
+            entries.iter().map(|entry| entry.name.to_string()).collect()
+        })
     }
 
     fn choose(&mut self) -> Result<String, ChoiceRefusal> {
@@ -278,7 +296,7 @@
 #[test]
 fn full_replicas_get_no_calls() {
     let mut world = World::new(&[entry("r"), entry("s")]);
-    let load = |running| ReplicaLoad { running, waiting: 0, slots: 4 };
+    let load = |running| ReplicaLoad { running, waiting: 0 };
     world.fleet.record_load("r", load(4), world.now);
     assert_eq!(world.choose().as_deref(), Ok("s"));
     world.fleet.record_load("s", load(4), world.now);
@@ -341,3 +359,106 @@
     of_small.dedup();
     assert!(of_small.len() <= 2);
 }
+
+/// Call of the largest model with a long prompt.
+fn long_call() -> CallNeeds {
+    CallNeeds { model: Some("large".into()), prompt_tokens: 12_000, ..CallNeeds::default() }
+}
+
+/// Load that one replica told some time ago.
+struct ToldLoad {
+    replica: &'static str,
+    age_ms: u64,
+}
+
+struct QuestionCase {
+    name: &'static str,
+    replicas: usize,
+    call: CallNeeds,
+    told: &'static [ToldLoad],
+    asked: usize,
+}
+
+/// Guards against long prompts that are placed behind others, and against questions that cost more
+/// than they tell.
+#[test]
+fn loads_are_asked_for_where_they_decide() {
+    let cases = [
+        QuestionCase { name: "long", replicas: 9, call: long_call(), told: &[], asked: 3 },
+        QuestionCase { name: "two", replicas: 2, call: long_call(), told: &[], asked: 2 },
+        QuestionCase { name: "no choice", replicas: 1, call: long_call(), told: &[], asked: 0 },
+        QuestionCase {
+            name: "told just now",
+            replicas: 2,
+            call: long_call(),
+            told: &[ToldLoad { replica: "r0", age_ms: 50 }],
+            asked: 1,
+        },
+        QuestionCase {
+            name: "told long ago",
+            replicas: 2,
+            call: long_call(),
+            told: &[ToldLoad { replica: "r0", age_ms: 900 }],
+            asked: 2,
+        },
+        QuestionCase {
+            name: "short prompt",
+            replicas: 9,
+            call: CallNeeds { prompt_tokens: 300, ..long_call() },
+            told: &[],
+            asked: 0,
+        },
+        QuestionCase {
+            name: "small model",
+            replicas: 9,
+            call: CallNeeds { model_weight: 0.1, ..long_call() },
+            told: &[],
+            asked: 0,
+        },
+        QuestionCase {
+            name: "plain service",
+            replicas: 9,
+            call: CallNeeds::default(),
+            told: &[],
+            asked: 0,
+        },
+    ];
+    for QuestionCase { name, replicas, call, told, asked } in cases {
+        let entries: Vec<_> = (0..replicas).map(|place| entry(&format!("r{place}"))).collect();
+        let mut world = World::new(&entries);
+        let start = world.now;
+        world.now += ms(2_000);
+        for ToldLoad { replica, age_ms } in told {
+            let at = start + ms(2_000 - age_ms);
+            world.fleet.record_load(replica, ReplicaLoad { running: 1, waiting: 0 }, at);
+        }
+        assert_eq!(world.asked(&call).len(), asked, "{name}");
+    }
+}
+
+/// Guards against a long prompt that waits behind those of other instances.
+#[test]
+fn a_replica_where_requests_wait_is_passed_over() {
+    let call = CallNeeds { shared: vec![PromptPart { id: 7, tokens: 10_000 }], ..long_call() };
+    let entries: Vec<_> =
+        (0..4).map(|place| ReplicaEntry { slots: 100, ..entry(&format!("r{place}")) }).collect();
+    let preferred = World::new(&entries).choose_call(&call).unwrap();
+    let mut world = World::new(&entries);
+    world.fleet.record_load(&preferred, ReplicaLoad { running: 10, waiting: 0 }, world.now);
+    assert_eq!(world.choose_call(&call).as_ref(), Ok(&preferred), "running requests share steps");
+    let mut world = World::new(&entries);
+    world.fleet.record_load(&preferred, ReplicaLoad { running: 10, waiting: 6 }, world.now);
+    assert_ne!(world.choose_call(&call).as_ref(), Ok(&preferred));
+}
+
+/// Guards against figures of callers and replicas that overflow.
+#[test]
+fn extreme_figures_are_borne() {
+    let parts = [1, 2, 3].map(|id| PromptPart { id, tokens: u32::MAX });
+    let call = CallNeeds { shared: parts.to_vec(), prompt_tokens: u32::MAX, ..long_call() };
+    let mut world = World::new(&[entry("r"), entry("s")]);
+    let most = ReplicaLoad { running: u32::MAX, waiting: u32::MAX };
+    world.fleet.record_load("r", most, world.now);
+    assert_eq!(world.choose_call(&call).as_deref(), Ok("s"));
+    assert_eq!(world.choose_call(&call).as_deref(), Ok("s"));
+}
