Ask questions of an outage again when the store has returned

Change: when an outage of 600 ms or more ends, waiting questions are asked again. A test with three outages failed before and passes.

--- a/src/relay/store_paths.rs
+++ b/src/relay/store_paths.rs
@@ -30,11 +30,15 @@
 /// Makes a client of the store for an address.
 pub type StoreConnector = Box<dyn Fn(SocketAddr) -> Arc<dyn ChangeFeed> + Send + Sync>;
 
-/// Number of a path; it changes with each choice of another one.
+/// Number of a path; it changes with each choice of another one, and when a path that failed works
+/// again.
 type PathEpoch = u64;
 
 struct PathState {
+    /// Start of the failures of the direct path.
     failing_since: Option<Instant>,
+    /// Start of the time without an answer on any path.
+    outage_since: Option<Instant>,
     last_good: Option<Instant>,
     peer: Option<(SocketAddr, Arc<dyn ChangeFeed>)>,
     tunnels: Vec<SocketAddr>,
@@ -59,6 +63,7 @@
     ) -> Self {
         let state = PathState {
             failing_since: None,
+            outage_since: None,
             last_good: None,
             peer: None,
             tunnels,
@@ -125,8 +130,16 @@
         }
         let direct = state.peer.is_none();
         let now = Instant::now();
+        if !good {
+            state.outage_since.get_or_insert(started);
+        }
         match (good, direct) {
             (true, _) => {
+                let outage = state.outage_since.take();
+                if outage.is_some_and(|since| now >= since + FAILING_TIME) {
+                    // A store that was away may never answer what it was asked meanwhile.
+                    self.epoch.send_modify(|epoch| *epoch += 1);
+                }
                 state.last_good = Some(now);
                 state.peers_tried = 0;
                 if direct {
@@ -209,8 +222,8 @@
 }
 
 impl ChangeFeed for StorePaths {
-    /// Ends early when another path is chosen: a question may wait at a store that has fallen
-    /// silent.
+    /// Ends early when another path is chosen or the path works again after an outage: a question
+    /// may wait at a store that has fallen silent.
     fn changes<'a>(
         &'a self,
         prefix: &'a str,
@@ -229,7 +242,7 @@
                 outcome = asking => outcome,
                 // The sender lives as long as the paths.
                 _ = chosen.wait_for(|now| *now != epoch) => {
-                    Err(KvError::NoAnswer("another path was chosen".to_owned()))
+                    Err(KvError::NoAnswer("asked again, as the path has changed".to_owned()))
                 }
             }
         }
--- a/tests/store_paths.rs
+++ b/tests/store_paths.rs
@@ -174,3 +174,46 @@
     assert!(started.elapsed() < Duration::from_secs(3));
     assert!(world.paths.changes("p/", 0, Duration::from_secs(10)).await.is_ok());
 }
+
+struct ReturnCase {
+    name: &'static str,
+    /// Time for which calls fail.
+    outage: Duration,
+    /// Whether the question is asked again at the end of the outage.
+    ends: bool,
+}
+
+/// Guards against a question that was asked while the store was away and is never answered, though
+/// the store has returned: changes take effect only when its wait is over. Seen in a hunt
+/// (hunt-c32e-27 on lcca-moulds) as a configuration that came 9 s late.
+#[tokio::test(start_paused = true)]
+async fn questions_of_an_outage_are_asked_again_after_it() {
+    let cases = [
+        ReturnCase { name: "one lost answer", outage: Duration::from_millis(200), ends: false },
+        ReturnCase { name: "short outage", outage: Duration::from_secs(2), ends: true },
+        ReturnCase { name: "long outage", outage: Duration::from_secs(9), ends: true },
+    ];
+    for ReturnCase { name, outage, ends } in cases {
+        let world = world();
+        let until = Instant::now() + outage;
+        while Instant::now() < until {
+            assert!(world.paths.renew_lease(1).await.is_err());
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        // All stores take the question; none will answer it.
+        for store in [&world.direct, &world.peer] {
+            store.silent.store(true, Ordering::Relaxed);
+        }
+        let paths = world.paths.clone();
+        let question =
+            tokio::spawn(async move { paths.changes("p/", 0, Duration::from_secs(10)).await });
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        for store in [&world.direct, &world.peer] {
+            store.silent.store(false, Ordering::Relaxed);
+            store.up.store(true, Ordering::Relaxed);
+        }
+        assert!(world.paths.renew_lease(1).await.is_ok(), "{name}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        assert_eq!(question.is_finished(), ends, "{name}");
+    }
+}
