Bound the cold time that a replica may state

A cold time without sense overflowed the clock. The task that reads the list of replicas then ended, and the instance read no more changes. Cold times count up to 60 s now; the test overflowed before.

--- a/src/relay/replica_fleet.rs
+++ b/src/relay/replica_fleet.rs
@@ -28,6 +28,9 @@
 /// Time after a return of the store for which replicas that lapsed are kept. Most of those that
 /// live are in the list again by then; one that left meanwhile may serve for 2 s only.
 const LAPSE_GRACE: Duration = Duration::from_millis(1_600);
+/// Longest cold time that is believed. Replicas are cold for seconds; a figure without sense must
+/// not keep one out of use.
+const LONGEST_COLD_TIME: Duration = Duration::from_secs(60);
 /// Time for which a replica that may have turned cold counts as cold, unless its entry says
 /// otherwise. Replicas are cold for about three seconds, and write what changes in their entry
 /// once a second.
@@ -67,7 +70,7 @@
 
     /// Takes over an entry.
     pub fn put(&mut self, entry: ReplicaEntry, now: Instant) -> EntryChange {
-        let cold_until = now + entry.cold_left;
+        let cold_until = now + entry.cold_left.min(LONGEST_COLD_TIME);
         let draining = entry.state == EntryState::Draining;
         let Some(row) = self.rows.get_mut(&entry.name) else {
             let name = entry.name.clone();
@@ -247,7 +250,7 @@
     /// Takes over how long a replica says that it stays cold.
     pub fn record_cold(&mut self, name: &str, cold_left: Duration, now: Instant) {
         if let Some(row) = self.rows.get_mut(name) {
-            row.cold_until = row.cold_until.max(now + cold_left);
+            row.cold_until = row.cold_until.max(now + cold_left.min(LONGEST_COLD_TIME));
         }
     }
 
--- a/tests/replica_fleet.rs
+++ b/tests/replica_fleet.rs
@@ -462,3 +462,19 @@
     assert_eq!(world.choose_call(&call).as_deref(), Ok("s"));
     assert_eq!(world.choose_call(&call).as_deref(), Ok("s"));
 }
+
+/// Guards against a replica that states a cold time without sense: the list of replicas must go on
+/// being read, and the replica must be used in the end.
+#[test]
+fn cold_times_have_an_end() {
+    for stated in [Duration::MAX, Duration::from_millis(u64::MAX)] {
+        let mut world = World::new(&[ReplicaEntry { cold_left: stated, ..entry("r") }]);
+        world.fleet.record_cold("r", stated, world.now);
+        world.now += Duration::from_secs(61);
+        let asked = CallNeeds::default();
+        let choice = world.with_call(&asked, |fleet, request, context| {
+            fleet.choose(request, context).map(|choice| choice.cold)
+        });
+        assert_eq!(choice, Ok(false), "{stated:?}");
+    }
+}
