--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -12,6 +12,7 @@
 use tokio::net::{TcpListener, TcpStream, tcp};
 use tokio::time::Instant;
 
+use super::accept_loop;
 use super::caller_writer::{AnswerProgress, CallerWriter};
 use super::relay_config::CallerLimits;
 use super::relay_node::RelayNode;
@@ -27,8 +28,6 @@
 const READ_AHEAD_BYTES: usize = 64 * 1_024;
 /// Time for a body to arrive after its head; a caller may send a long one over a slow link.
 const BODY_LIMIT: Duration = Duration::from_secs(20);
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Part of the sockets that callers may hold; the others go to replicas and the store.
 const CALLER_SOCKETS: (usize, usize) = (3, 5);
 /// Time for which the rest of a refused call is read, so that the caller gets the answer and not
@@ -39,18 +38,10 @@
 pub async fn run(node: Arc<RelayNode>, listener: TcpListener) {
     let open = Arc::new(AtomicUsize::new(0));
     let most = node.settings.sockets * CALLER_SOCKETS.0 / CALLER_SOCKETS.1;
-    loop {
-        let (stream, _) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                node.emit(LogEvent::AcceptFailed, slog::o!("error" => error.to_string()));
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    let accepted = |stream, _| {
         if open.load(Ordering::Relaxed) >= most {
             node.emit(LogEvent::CallerRejected, slog::o!("open" => most));
-            continue;
+            return;
         }
         let (node, open) = (node.clone(), open.clone());
         tokio::spawn(async move {
@@ -58,7 +49,8 @@
             serve(node, stream).await;
             open.fetch_sub(1, Ordering::Relaxed);
         });
-    }
+    };
+    accept_loop::run(&node, listener, accepted).await;
 }
 
 struct CallerConnection {
--- a/src/relay/entry_server.rs
+++ b/src/relay/entry_server.rs
@@ -7,10 +7,10 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::{TcpListener, TcpStream};
 
+use super::accept_loop;
 use super::call_dialect::EntryCall;
 use super::caller_writer::{CallerWriter, JSON_TYPE};
 use super::relay_node::RelayNode;
-use crate::event_catalogue::LogEvent;
 use crate::http1::connection;
 use crate::http1::message_error::MessageError;
 use crate::http1::message_reader::MessageReader;
@@ -30,8 +30,6 @@
 const HEAD_BYTES: usize = 8 * 1_024;
 /// Type of the page of metrics: the text format of Prometheus.
 const METRICS_TYPE: &str = "text/plain; version=0.0.4";
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What an address serves.
 #[derive(Clone)]
@@ -44,21 +42,14 @@
 
 /// Serves an address until the process ends.
 pub async fn run(node: Arc<RelayNode>, listener: TcpListener, pages: EntryPages) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (node, pages) = (node.clone(), pages.clone());
-                tokio::spawn(async move {
-                    // The caller of a page sees a broken connection itself.
-                    let _ = serve(node, stream, pages).await;
-                });
-            }
-            Err(error) => {
-                node.emit(LogEvent::AcceptFailed, slog::o!("error" => error.to_string()));
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let accepted = |stream, _| {
+        let (node, pages) = (node.clone(), pages.clone());
+        tokio::spawn(async move {
+            // The caller of a page sees a broken connection itself.
+            let _ = serve(node, stream, pages).await;
+        });
+    };
+    accept_loop::run(&node, listener, accepted).await;
 }
 
 async fn serve(
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,6 +10,7 @@
 //! `store_dialect` are the traits that an adapter implements; nothing here knows the names that a
 //! platform uses on the wire.
 
+mod accept_loop;
 pub mod attempt_budget;
 mod attempt_flow;
 mod attempt_outcome;
--- a/src/relay/relay_node.rs
+++ b/src/relay/relay_node.rs
@@ -1,5 +1,6 @@
 //! Tables of one relay instance and the systems that share them.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -132,6 +133,12 @@
         }
     }
 
+    /// Notes a record of the store that cannot be read; what was known before stays in use.
+    pub(super) fn record_unreadable(&self, key: &str, error: &dyn Display) {
+        let fields = slog::o!("key" => key.to_owned(), "error" => error.to_string());
+        self.emit(LogEvent::RecordUnreadable, fields);
+    }
+
     /// Whether the instance takes calls.
     pub fn ready(&self) -> bool {
         self.config.load().is_some()
--- a/src/relay/relay_service.rs
+++ b/src/relay/relay_service.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{self, SignalKind};
 use tokio::time::Instant;
 
@@ -15,12 +15,10 @@
 use super::relay_node::RelayNode;
 use super::rollout_duty::RolloutDuty;
 use super::store_mirror::{MirrorScope, StoreMirror};
-use super::{caller_server, member_registry, store_tunnel};
+use super::{accept_loop, caller_server, member_registry, store_tunnel};
 use crate::event_catalogue::LogEvent;
 use crate::process_output;
 
-/// Connections that wait to be accepted; a broadcast opens many at once.
-const BACKLOG: u32 = 1_024;
 /// Time between two rounds of upkeep.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Least time from the order to stop to the exit. Callers keep an answer of the directory for
@@ -128,13 +126,7 @@
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener, RelayError> {
-    let listen = || -> io::Result<TcpListener> {
-        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    listen().map_err(|error| RelayError::Listen { address, error })
+    accept_loop::bind(address).map_err(|error| RelayError::Listen { address, error })
 }
 
 fn distinct(addresses: [SocketAddr; 2]) -> Vec<SocketAddr> {
--- a/src/relay/rollout_duty.rs
+++ b/src/relay/rollout_duty.rs
@@ -154,8 +154,7 @@
                     self.node.rollouts.lock().put_report(service, instance.into(), report);
                 }
                 Err(error) => {
-                    let fields = slog::o!("key" => entry.key.clone(), "error" => error.to_string());
-                    self.node.emit(LogEvent::RecordUnreadable, fields);
+                    self.node.record_unreadable(&entry.key, &error);
                 }
             }
         }
@@ -353,10 +352,6 @@
 /// Takes over a record of the rollouts from the store.
 pub fn apply_record(node: &RelayNode, entry: &KvEntry) {
     let now = Instant::now();
-    let unreadable = |error: String| {
-        let fields = slog::o!("key" => entry.key.clone(), "error" => error);
-        node.emit(LogEvent::RecordUnreadable, fields);
-    };
     if entry.key == DUTY_KEY {
         let name = String::from_utf8_lossy(&entry.value).into_owned();
         let own = name == *node.settings.name;
@@ -376,7 +371,7 @@
                     node.emit(LogEvent::RolloutPhaseSeen, fields);
                 }
             }
-            Err(error) => unreadable(error.to_string()),
+            Err(error) => node.record_unreadable(&entry.key, &error),
         }
     }
 }
--- a/src/relay/store_mirror.rs
+++ b/src/relay/store_mirror.rs
@@ -255,8 +255,7 @@
             node.emit(LogEvent::ConfigInEffect, fields);
         }
         Err(error) => {
-            let fields = slog::o!("key" => entry.key.clone(), "error" => error.to_string());
-            node.emit(LogEvent::RecordUnreadable, fields);
+            node.record_unreadable(&entry.key, &error);
         }
     }
 }
@@ -273,8 +272,7 @@
             node.emit(LogEvent::RolloutOrdered, fields);
         }
         Err(error) => {
-            let fields = slog::o!("key" => entry.key.clone(), "error" => error.to_string());
-            node.emit(LogEvent::RecordUnreadable, fields);
+            node.record_unreadable(&entry.key, &error);
         }
     }
 }
@@ -299,8 +297,7 @@
         Err(error) => {
             // An entry that became unreadable names no replica to use.
             node.fleet.lock().remove(name, Instant::now());
-            let fields = slog::o!("key" => entry.key.clone(), "error" => error.to_string());
-            node.emit(LogEvent::RecordUnreadable, fields);
+            node.record_unreadable(&entry.key, &error);
             return;
         }
     };
@@ -326,8 +323,7 @@
                 }
             }
             Err(error) => {
-                let fields = slog::o!("key" => entry.key.clone(), "error" => error.to_string());
-                node.emit(LogEvent::RecordUnreadable, fields);
+                node.record_unreadable(&entry.key, &error);
             }
         }
     } else {
--- a/src/relay/store_tunnel.rs
+++ b/src/relay/store_tunnel.rs
@@ -10,6 +10,7 @@
 
 use tokio::net::{TcpListener, TcpStream};
 
+use super::accept_loop;
 use super::relay_node::RelayNode;
 use crate::event_catalogue::LogEvent;
 use crate::http1::connection;
@@ -18,26 +19,16 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// Longest life of one connection. A peer looks for its own way to the store from time to time.
 const TUNNEL_LIFE: Duration = Duration::from_secs(30);
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves peers until the process ends.
 pub async fn run(node: Arc<RelayNode>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                if !node.store.direct_works() {
-                    continue;
-                }
-                node.emit(LogEvent::TunnelOpened, slog::o!("peer" => peer.to_string()));
-                tokio::spawn(join(node.settings.store, stream));
-            }
-            Err(error) => {
-                node.emit(LogEvent::AcceptFailed, slog::o!("error" => error.to_string()));
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
+    let accepted = |stream, peer: SocketAddr| {
+        if node.store.direct_works() {
+            node.emit(LogEvent::TunnelOpened, slog::o!("peer" => peer.to_string()));
+            tokio::spawn(join(node.settings.store, stream));
         }
-    }
+    };
+    accept_loop::run(&node, listener, accepted).await;
 }
 
 async fn join(store: SocketAddr, mut peer: TcpStream) {
