--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,10 +5,10 @@
 //! platform's store and can be read again, so an instance keeps nothing.
 //!
 //! Pure modules decide: `attempt_budget`, `cold_budget`, `cascade_plan`, `replica_score`,
-//! `rollout_plan`, `event_splitter`. Edges call them: `caller_server`, `entry_server`,
-//! `call_flow`, `store_mirror`, `member_registry`, `rollout_duty`. `call_dialect` and
-//! `store_dialect` are the traits that an adapter implements; nothing here knows the names that a
-//! platform uses on the wire.
+//! `read_pace`, `retry_pause`, `rollout_plan`, `event_splitter`. Edges call them: `caller_server`,
+//! `entry_server`, `call_flow`, `load_question`, `store_mirror`, `member_registry`,
+//! `rollout_duty`. `call_dialect` and `store_dialect` are the traits that an adapter implements;
+//! nothing here knows the names that a platform uses on the wire.
 
 mod accept_loop;
 pub mod attempt_budget;
--- a/src/relay/replica_choice.rs
+++ b/src/relay/replica_choice.rs
@@ -14,6 +14,9 @@
 use super::version_rule::VersionRule;
 use crate::ids;
 
+/// Keys and tokens of the shared starts of a prompt.
+pub type PromptKeys = SmallVec<[(u64, u32); 4]>;
+
 /// Weight up to which a model counts as small.
 const SMALL_MODEL_WEIGHT: f64 = 0.5;
 
@@ -96,7 +99,7 @@
     }
 
     /// Keys and tokens of the shared starts of a prompt, each including those before it.
-    pub fn prompt_keys(&self) -> SmallVec<[(u64, u32); 4]> {
+    pub fn prompt_keys(&self) -> PromptKeys {
         let mut chain = self.model.map_or(0, |model| xxh3::xxh3_64(model.as_bytes()));
         let mut keys = SmallVec::new();
         for part in self.shared {
--- a/src/relay/replica_fleet.rs
+++ b/src/relay/replica_fleet.rs
@@ -21,7 +21,7 @@
 use crate::ids;
 
 /// Work of a call from which the loads of the best replicas are asked for, in prompt tokens of the
-/// largest model: about the work that one waiting request may add is not risked for less.
+/// largest model. Below it a wrong choice costs less than the questions.
 const ASKED_WORK: f64 = 600.0;
 /// Replicas whose loads are compared for one call.
 const CONTENDERS: usize = 3;
--- a/src/relay/replica_score.rs
+++ b/src/relay/replica_score.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 
 use super::cold_budget;
-use super::replica_choice::{ChoiceContext, ChoiceRefusal, ChoiceRequest};
+use super::replica_choice::{ChoiceContext, ChoiceRefusal, ChoiceRequest, PromptKeys};
 use super::replica_row::ReplicaRow;
 use crate::{ids, rendezvous};
 
@@ -47,6 +47,78 @@
     names.into_iter().take(part).collect()
 }
 
+/// Expected work of one call at each replica.
+struct CallScore<'a> {
+    request: &'a ChoiceRequest<'a>,
+    context: &'a ChoiceContext<'a>,
+    prompts: PromptKeys,
+    /// Replica to which all instances send prompts with the same start.
+    preferred: Option<&'a ids::ReplicaName>,
+    small_part: SmallVec<[&'a ids::ReplicaName; 8]>,
+}
+
+impl<'a> CallScore<'a> {
+    fn new(
+        warm: &[&'a ReplicaRow],
+        request: &'a ChoiceRequest<'a>,
+        context: &'a ChoiceContext<'a>,
+    ) -> Self {
+        let names = || warm.iter().map(|row| &row.entry.name);
+        let prompts = request.prompt_keys();
+        let small_part = small_model_replicas(names());
+        let mut score = Self { request, context, prompts, preferred: None, small_part };
+        score.preferred = score.prompts.last().and_then(|(key, _)| {
+            let key = key.to_string();
+            names().max_by_key(|name| (score.in_own_part(name), rendezvous::rank(&key, name)))
+        });
+        score
+    }
+
+    /// Whether a replica is one of those for models of the call's kind.
+    fn in_own_part(&self, name: &ids::ReplicaName) -> bool {
+        self.small_part.contains(&name) == self.request.small_model()
+    }
+
+    /// Score of a replica; the least is the best.
+    fn of(&self, row: &ReplicaRow) -> f64 {
+        if self.request.prompt_tokens == 0 { self.slots(row) } else { self.prompt_work(row) }
+    }
+
+    /// Slots in use, for a plain service.
+    fn slots(&self, row: &ReplicaRow) -> f64 {
+        let distance = if self.near(row) { 0.0 } else { DISTANCE_SLOTS };
+        let occupied = f64::from(row.occupied(self.context.now));
+        occupied + distance + FAILURE_SLOTS * row.health.failure_share()
+    }
+
+    /// Work before the first token, in prompt tokens of the largest model.
+    fn prompt_work(&self, row: &ReplicaRow) -> f64 {
+        let (request, now) = (self.request, self.context.now);
+        let mut uncached = row.uncached_tokens(request, &self.prompts, now);
+        if self.preferred == Some(&row.entry.name) {
+            let shared: f64 = self.prompts.iter().map(|(_, tokens)| f64::from(*tokens)).sum();
+            uncached = uncached.min(f64::from(request.prompt_tokens) - shared * PREFERRED_SHARE);
+        }
+        let part = match (self.in_own_part(&row.entry.name), request.small_model()) {
+            _ if request.model.is_none() => 0.0,
+            (true, _) => 0.0,
+            (false, true) => SMALL_LEAVES_WORK,
+            (false, false) => LARGE_ENTERS_WORK,
+        };
+        // Calls of this instance that the replica still reads are among those that wait.
+        let waiting = f64::from(row.waiting(now)) * WAITING_WORK * request.model_weight;
+        uncached * (request.model_weight + REREAD_WORK)
+            + row.reading.max(waiting)
+            + f64::from(row.occupied(now)) * RUNNING_WORK
+            + if self.near(row) { 0.0 } else { DISTANCE_WORK }
+            + part
+    }
+
+    fn near(&self, row: &ReplicaRow) -> bool {
+        row.entry.data_centre == *self.context.data_centre
+    }
+}
+
 /// Replicas with the least expected work before the first byte, best first, among those that are
 /// not cold.
 pub(super) fn best_warm<'a>(
@@ -56,63 +128,26 @@
     most: usize,
 ) -> Result<SmallVec<[&'a ReplicaRow; 4]>, ChoiceRefusal> {
     let now = context.now;
-    let warm = || usable.iter().filter(|row| !row.cold(now, request.cold_rate_per_s));
-    if warm().next().is_none() {
+    let mut warm: SmallVec<[&ReplicaRow; 32]> = SmallVec::from_slice(usable);
+    warm.retain(|row| !row.cold(now, request.cold_rate_per_s));
+    if warm.is_empty() {
         return Err(ChoiceRefusal::NoReplica);
     }
-    let free = || warm().filter(|row| row.occupied(now) < row.entry.slots.max(1));
-    if free().next().is_none() {
-        return Err(ChoiceRefusal::Full);
-    }
-    let prompts = request.prompt_keys();
-    let shared: f64 = prompts.iter().map(|(_, tokens)| f64::from(*tokens)).sum();
-    let small_model = request.small_model();
-    let small_part = small_model_replicas(warm().map(|row| &row.entry.name));
-    let own_part = |name: &ids::ReplicaName| small_part.contains(&name) == small_model;
-    let preferred = prompts.last().and_then(|(key, _)| {
-        let key = key.to_string();
-        let names = warm().map(|row| &row.entry.name);
-        names.max_by_key(|name| (own_part(name), rendezvous::rank(&key, name)))
-    });
-    let score = |row: &ReplicaRow| -> f64 {
-        let near = row.entry.data_centre == *context.data_centre;
-        let occupied = f64::from(row.occupied(now));
-        if request.prompt_tokens == 0 {
-            let distance = if near { 0.0 } else { DISTANCE_SLOTS };
-            return occupied + distance + FAILURE_SLOTS * row.health.failure_share();
-        }
-        let uncached = row.uncached_tokens(request, &prompts, now);
-        let assumed = if preferred == Some(&row.entry.name) {
-            f64::from(request.prompt_tokens) - shared * PREFERRED_SHARE
-        } else {
-            uncached
-        };
-        let distance = if near { 0.0 } else { DISTANCE_WORK };
-        let work = uncached.min(assumed) * (request.model_weight + REREAD_WORK);
-        let part = match (own_part(&row.entry.name), small_model) {
-            _ if request.model.is_none() => 0.0,
-            (true, _) => 0.0,
-            (false, true) => SMALL_LEAVES_WORK,
-            (false, false) => LARGE_ENTERS_WORK,
-        };
-        // Calls of this instance that the replica still reads are among those that wait.
-        let queued =
-            row.reading.max(f64::from(row.waiting(now)) * WAITING_WORK * request.model_weight);
-        work + queued + occupied * RUNNING_WORK + distance + part
-    };
-    let well = free().filter(|row| !row.health.avoided(now));
-    let mut best: SmallVec<[(f64, &ReplicaRow); 4]> = SmallVec::new();
-    for row in well {
-        let score = score(row);
-        let place = best.partition_point(|(other, _)| *other <= score);
+    let score = CallScore::new(&warm, request, context);
+    let free = || warm.iter().filter(|row| row.occupied(now) < row.entry.slots.max(1));
+    let mut best: SmallVec<[(f64, &'a ReplicaRow); 4]> = SmallVec::new();
+    for row in free().filter(|row| !row.health.avoided(now)) {
+        let work = score.of(row);
+        let place = best.partition_point(|(other, _)| *other <= work);
         if place < most {
             best.truncate(most - 1);
-            best.insert(place, (score, row));
+            best.insert(place, (work, row));
         }
     }
     if !best.is_empty() {
         return Ok(best.into_iter().map(|(_, row)| row).collect());
     }
+    // Replicas that are avoided are better than none.
     let soonest = free().min_by_key(|row| row.health.avoided_until());
     soonest.map(|row| smallvec::smallvec![*row]).ok_or(ChoiceRefusal::Full)
 }
