Write no second answer into a stream that has begun

Change: once the caller has the start of a stream, an answer that is not its continuation is a failed attempt; without another one the stream is cut visibly.

--- a/src/relay/call_flow.rs
+++ b/src/relay/call_flow.rs
@@ -179,6 +179,14 @@
             }
             progress.choice = Some(guard.choice().clone());
             match self.attempt(job, progress, guard, writer).await? {
+                // The caller has the start of a stream, in which no other answer may follow.
+                AttemptEnd::Whole(..) if writer.progress() != AnswerProgress::NotStarted => {
+                    if !self.may_run_again(job, progress) {
+                        let message = "no replica goes on with the stream";
+                        return Err(call_failure::out_of_attempts(progress, message));
+                    }
+                    self.retry(job, progress, RetryReason::BackendError);
+                }
                 AttemptEnd::Whole(head, body) => {
                     if head.status < 500 || !self.may_run_again(job, progress) {
                         writer.write_whole(&head, &body).await?;
