Read the list of replicas in time whatever the drain time

Cause: the pace followed the drain time alone. A deployment whose replicas drain for minutes would have read the list every two minutes, one without a drain time after each heartbeat.

Change: the pace stays between 0.2 and 1.5 s. Three comments state what the constants do.

Result: two cases of the test of the pace failed before; the deployments at hand have the pace that they had (0.8 and 1.2 s).

--- a/src/relay/rollout_duty.rs
+++ b/src/relay/rollout_duty.rs
@@ -26,8 +26,8 @@
 const DUTY_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two reports without a failure; failures are reported at the next look.
 const REPORT_INTERVAL: Duration = Duration::from_millis(2_500);
-/// Members from which the time between two reports grows with their number, so that the reports
-/// of all stay at about six writes a second.
+/// Members for each of which `REPORT_INTERVAL` is one longer, so that the reports of up to 64
+/// stay at about six writes a second.
 const REPORTING_MEMBERS: usize = 16;
 /// Longest time between two reports; a rollout is given some tens of seconds.
 const LONGEST_REPORT_INTERVAL: Duration = Duration::from_secs(10);
--- a/src/relay/store_mirror.rs
+++ b/src/relay/store_mirror.rs
@@ -26,6 +26,11 @@
 /// list of replicas. Each replica writes its entry about once a second; a watch without a pause
 /// would make a call for each of these writes.
 const DRAIN_PART: f64 = 0.4;
+/// Shortest time between two reads of the list of replicas, where they hardly drain.
+const SHORTEST_REPLICA_PACE: Duration = Duration::from_millis(200);
+/// Longest time between two reads of the list of replicas. Replicas also start, turn cold and are
+/// gone; three missed heartbeats of about a second end an entry.
+const LONGEST_REPLICA_PACE: Duration = Duration::from_millis(1_500);
 /// Shortest time between two reads of the instances' own records. A peer that joins must soon be
 /// known: it may be the only path to the store.
 const FIRST_OWN_PACE: Duration = Duration::from_millis(150);
@@ -35,7 +40,7 @@
 const LONGEST_OWN_PACE: Duration = Duration::from_secs(1);
 /// Time without an answer after which entries may have lapsed in the store meanwhile.
 const OUTAGE_TIME: Duration = Duration::from_secs(1);
-/// Time for which a question for changes waits at the store. A channel that has fallen silent is
+/// Time for which a question for changes waits at the store. A connection that has fallen silent is
 /// found by its keep-alive probes, well before.
 const CHANGE_WAIT: Duration = Duration::from_secs(10);
 /// Prefix of the instances' own records.
@@ -65,10 +70,13 @@
 
     /// Pauses between two reads of the changes.
     pub fn pace(self, replica_drain: Duration) -> ReadPace {
-        let replica_pace = replica_drain.mul_f64(DRAIN_PART);
         match self {
             Self::Operators => ReadPace::new(Duration::ZERO, Duration::ZERO),
-            Self::Replicas => ReadPace::new(replica_pace, replica_pace),
+            Self::Replicas => {
+                let part = replica_drain.mul_f64(DRAIN_PART);
+                let pace = part.clamp(SHORTEST_REPLICA_PACE, LONGEST_REPLICA_PACE);
+                ReadPace::new(pace, pace)
+            }
             Self::Own => ReadPace::new(FIRST_OWN_PACE, LONGEST_OWN_PACE),
         }
     }
--- a/tests/store_load.rs
+++ b/tests/store_load.rs
@@ -62,6 +62,21 @@
             waits: &[0, 0, 5_000],
             pauses_ms: &[1_000..=1_500, 1_000..=1_500, 1_000..=1_500],
         },
+        // Replicas also start, turn cold and are gone, whatever the drain time.
+        PaceCase {
+            name: "replicas that drain for minutes",
+            scope: MirrorScope::Replicas,
+            replica_drain: Duration::from_secs(300),
+            waits: &[0, 0],
+            pauses_ms: &[1_000..=2_000, 1_000..=2_000],
+        },
+        PaceCase {
+            name: "replicas without a drain time",
+            scope: MirrorScope::Replicas,
+            replica_drain: Duration::ZERO,
+            waits: &[0, 0],
+            pauses_ms: &[50..=250, 50..=250],
+        },
         PaceCase {
             name: "orders in quick succession",
             scope: MirrorScope::Operators,
