Keep lapsed entries in one table

The table of replicas and the list of members held the same rows, removals and grace. LapsingTable holds them once.

--- a/src/relay/member_list.rs
+++ b/src/relay/member_list.rs
@@ -1,6 +1,5 @@
 //! Instances of the fleet, as their entries in the store tell.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use super::lapse_grace::LapseGrace;
+use super::lapsing_table::LapsingTable;
 use crate::ids;
 
 /// Time after a return of the store for which members that lapsed are kept. Members that live
@@ -28,30 +27,28 @@
     pub region: Arc<str>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct MemberRow {
     entry: MemberEntry,
     lease: ids::LeaseId,
-    lapses_at: Option<Instant>,
 }
 
 /// Instances that live.
 #[derive(Debug)]
 pub struct MemberList {
-    rows: BTreeMap<ids::InstanceName, MemberRow>,
-    grace: LapseGrace,
+    rows: LapsingTable<MemberRow>,
 }
 
 impl Default for MemberList {
     fn default() -> Self {
-        Self { rows: BTreeMap::new(), grace: LapseGrace::new(LAPSE_GRACE) }
+        Self { rows: LapsingTable::new(LAPSE_GRACE) }
     }
 }
 
 impl MemberList {
     /// Notes that the store answers again after an outage.
     pub fn store_returned(&mut self, now: Instant) {
-        self.grace.store_returned(now);
+        self.rows.store_returned(now);
     }
 
     /// Adds or replaces a member; returns whether it is new.
@@ -61,34 +58,27 @@
         entry: MemberEntry,
         lease: ids::LeaseId,
     ) -> bool {
-        self.rows.insert(name, MemberRow { entry, lease, lapses_at: None }).is_none()
+        self.rows.insert(name, MemberRow { entry, lease })
     }
 
     /// Whether the entry of a member stands under a lease.
     pub fn stands(&self, name: &str, lease: ids::LeaseId) -> bool {
-        self.rows.get(name).is_some_and(|row| row.lease == lease && row.lapses_at.is_none())
+        self.rows.stands(name) && self.rows.get(name).is_some_and(|row| row.lease == lease)
     }
 
     /// Removes a member whose entry is gone; returns whether it is gone now.
     pub fn remove(&mut self, name: &str, now: Instant) -> bool {
-        match (self.grace.until(now), self.rows.get_mut(name)) {
-            (Some(until), Some(row)) => {
-                row.lapses_at = Some(until);
-                false
-            }
-            _ => self.rows.remove(name).is_some(),
-        }
+        self.rows.lapse(name, now)
     }
 
     /// Drops members whose grace has passed; returns their names.
     pub fn drop_lapsed(&mut self, now: Instant) -> Vec<ids::InstanceName> {
-        let lapsed = |_: &_, row: &mut MemberRow| row.lapses_at.is_some_and(|at| now >= at);
-        self.rows.extract_if(.., lapsed).map(|(name, _)| name).collect()
+        self.rows.drop_lapsed(now)
     }
 
     /// Names of all members.
     pub fn names(&self) -> Vec<ids::InstanceName> {
-        self.rows.keys().cloned().collect()
+        self.rows.iter().map(|(name, _)| name.clone()).collect()
     }
 
     /// Number of members.
--- a/src/relay/replica_fleet.rs
+++ b/src/relay/replica_fleet.rs
@@ -3,7 +3,7 @@
 //! The table joins what replicas say in the platform's list with what this instance saw of them,
 //! and gives the replicas that may run a call to the choice.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::call_dialect::ReplicaLoad;
-use super::lapse_grace::LapseGrace;
+use super::lapsing_table::LapsingTable;
 use super::replica_choice::{ChoiceContext, ChoiceRefusal, ChoiceRequest, ReplicaChoice};
 use super::replica_entry::{EntryState, ReplicaEntry};
 use super::replica_health::HealthOutcome;
@@ -50,29 +50,27 @@
 /// Table of the replicas.
 #[derive(Debug)]
 pub struct ReplicaFleet {
-    rows: HashMap<ids::ReplicaName, ReplicaRow>,
+    rows: LapsingTable<ReplicaRow>,
     evacuated: HashSet<ids::DataCentreName>,
-    grace: LapseGrace,
 }
 
 impl Default for ReplicaFleet {
     fn default() -> Self {
-        let grace = LapseGrace::new(LAPSE_GRACE);
-        Self { rows: HashMap::new(), evacuated: HashSet::new(), grace }
+        Self { rows: LapsingTable::new(LAPSE_GRACE), evacuated: HashSet::new() }
     }
 }
 
 impl ReplicaFleet {
     /// Notes that the store answers again after an outage.
     pub fn store_returned(&mut self, now: Instant) {
-        self.grace.store_returned(now);
+        self.rows.store_returned(now);
     }
 
     /// Takes over an entry.
     pub fn put(&mut self, entry: ReplicaEntry, now: Instant) -> EntryChange {
         let cold_until = now + entry.cold_left.min(LONGEST_COLD_TIME);
         let draining = entry.state == EntryState::Draining;
-        let Some(row) = self.rows.get_mut(&entry.name) else {
+        let Some(row) = self.rows.renew(&entry.name) else {
             let name = entry.name.clone();
             self.rows.insert(name, ReplicaRow::new(entry, now, cold_until));
             return EntryChange::Started;
@@ -87,7 +85,6 @@
         }
         row.seen_at = now;
         row.cold_until = cold_until;
-        row.lapses_at = None;
         row.suspected_cold_until = None;
         row.entry = Arc::new(entry);
         if drains { EntryChange::Draining } else { EntryChange::Same }
@@ -95,19 +92,12 @@
 
     /// Removes a replica whose entry is gone; returns whether it is gone now.
     pub fn remove(&mut self, name: &str, now: Instant) -> bool {
-        match (self.grace.until(now), self.rows.get_mut(name)) {
-            (Some(until), Some(row)) => {
-                row.lapses_at = Some(until);
-                false
-            }
-            _ => self.rows.remove(name).is_some(),
-        }
+        self.rows.lapse(name, now)
     }
 
     /// Drops replicas whose grace has passed; returns their names.
     pub fn drop_lapsed(&mut self, now: Instant) -> Vec<ids::ReplicaName> {
-        let lapsed = |_: &_, row: &mut ReplicaRow| row.lapses_at.is_some_and(|at| now >= at);
-        self.rows.extract_if(lapsed).map(|(name, _)| name).collect()
+        self.rows.drop_lapsed(now)
     }
 
     /// Takes a data centre out of use, or back into use.
@@ -199,12 +189,9 @@
         request: &ChoiceRequest<'_>,
         context: &ChoiceContext<'_>,
     ) -> SmallVec<[&ReplicaRow; 32]> {
-        let mut usable: SmallVec<[&ReplicaRow; 32]> = SmallVec::new();
-        usable.extend(self.rows.values().filter(|row| self.matches(row, request, context)));
-        if usable.iter().any(|row| row.lapses_at.is_none()) {
-            usable.retain(|row| row.lapses_at.is_none());
-        }
-        usable
+        let matches = |row: &&ReplicaRow| self.matches(row, request, context);
+        let standing: SmallVec<_> = self.rows.standing().filter(matches).collect();
+        if standing.is_empty() { self.rows.values().filter(matches).collect() } else { standing }
     }
 
     fn pick(
@@ -278,7 +265,7 @@
 
     /// Notes that another replica has the address: this one is gone.
     pub fn record_misdirected(&mut self, name: &str) -> bool {
-        self.rows.remove(name).is_some()
+        self.rows.remove(name)
     }
 
     fn usable(&self, row: &ReplicaRow, service: &str) -> bool {
--- a/src/relay/replica_row.rs
+++ b/src/relay/replica_row.rs
@@ -32,8 +32,6 @@
     pub(super) cold_until: Instant,
     /// End of the time for which it may be cold without a word.
     pub(super) suspected_cold_until: Option<Instant>,
-    /// End of the grace after its entry lapsed with an outage of the store.
-    pub(super) lapses_at: Option<Instant>,
     /// Calls of this instance that it holds.
     pub(super) in_flight: u32,
     /// Prompt tokens of these calls that it still reads, weighted by model.
@@ -60,7 +58,6 @@
             seen_at: now,
             cold_until,
             suspected_cold_until: None,
-            lapses_at: None,
             in_flight: 0,
             reading: 0.0,
             load: None,
