Name every member in the answers of the directory

Cause: an answer names 64 addresses at most, and of more members in a data centre it always named the same ones. At 100 instances a data centre a third of them got no new callers.

Change: of more members than an answer has room for, each answer names others at random.

Result: in a test with 200 members 64 were ever named before, all of them now.

--- a/src/relay/member_list.rs
+++ b/src/relay/member_list.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::SliceRandom as _;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
@@ -99,7 +100,8 @@
     /// Addresses to which callers of a region and data centre connect.
     ///
     /// Members of the caller's own data centre come alone where there are at least `least` of
-    /// them, which keeps calls off the links between data centres.
+    /// them, which keeps calls off the links between data centres. Of more than `most`, each answer
+    /// names others at random.
     pub fn addresses(
         &self,
         region: Option<&str>,
@@ -107,20 +109,21 @@
         least: usize,
         most: usize,
     ) -> Vec<SocketAddr> {
-        let in_centre = |entry: &&MemberEntry| Some(&*entry.data_centre) == data_centre;
-        let in_region = |entry: &&MemberEntry| region.is_none_or(|region| *entry.region == *region);
-        let entries = || self.rows.values().map(|row| &row.entry);
-        let pick = |chosen: Vec<&MemberEntry>| {
-            chosen.into_iter().map(|entry| entry.calls).take(most).collect::<Vec<_>>()
-        };
-        let near: Vec<_> = entries().filter(in_centre).collect();
-        if near.len() >= least.max(1) {
-            return pick(near);
+        let in_centre = |entry: &MemberEntry| Some(&*entry.data_centre) == data_centre;
+        let in_region = |entry: &MemberEntry| region.is_none_or(|region| *entry.region == *region);
+        let mut found = self.addresses_where(in_centre);
+        if found.len() < least.max(1) {
+            found = self.addresses_where(in_region);
         }
-        let regional: Vec<_> = entries().filter(in_region).collect();
-        if !regional.is_empty() {
-            return pick(regional);
+        if found.is_empty() {
+            found = self.addresses_where(|_| true);
         }
-        pick(entries().collect())
+        let (named, _) = found.partial_shuffle(&mut rand::rng(), most);
+        named.to_vec()
+    }
+
+    fn addresses_where(&self, suits: impl Fn(&MemberEntry) -> bool) -> Vec<SocketAddr> {
+        let entries = self.rows.values().map(|row| &row.entry);
+        entries.filter(|entry| suits(entry)).map(|entry| entry.calls).collect()
     }
 }
--- a/tests/member_list.rs
+++ b/tests/member_list.rs
@@ -44,6 +44,26 @@
     assert_eq!(members.addresses(None, None, 3, 2).len(), 2);
 }
 
+/// Guards against members that no caller ever connects to, because an answer has room for some only.
+#[test]
+fn every_member_of_a_large_data_centre_is_named() {
+    let mut members = MemberList::default();
+    for place in 0..200 {
+        members.put(place.to_string().as_str().into(), entry(place, "a"), 1);
+    }
+    let mut named = std::collections::HashMap::new();
+    for _ in 0..300 {
+        let found = members.addresses(Some("west"), Some("a"), 3, 64);
+        assert_eq!(found.len(), 64);
+        for address in found {
+            *named.entry(address).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(named.len(), 200);
+    // Each is named in 96 of 300 answers on average.
+    assert!(named.values().all(|count| (40..200).contains(count)), "{named:?}");
+}
+
 /// Guards against members that vanish with an outage of the store, and against dead ones that
 /// are named for ever after it.
 #[test]
