Remove functions that nothing calls; ask the table of replicas in one place

Five functions of the messages and the caller's side had no caller. A choice, the load of a replica that would be chosen, and the replicas to be asked for their load build their request and context in one function. No change of behaviour.

--- a/src/http1/body_decoder.rs
+++ b/src/http1/body_decoder.rs
@@ -57,11 +57,6 @@
         Self { state }
     }
 
-    /// Whether the body has been decoded to its end.
-    pub fn is_complete(&self) -> bool {
-        matches!(self.state, DecodeState::Complete | DecodeState::Sized(0))
-    }
-
     /// Whether an orderly end of the connection completes the body.
     pub fn ends_with_connection(&self) -> bool {
         self.state == DecodeState::UntilClose
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -31,7 +31,6 @@
     address: SocketAddr,
     idle_since: Instant,
     idle_limit: Duration,
-    reused: bool,
 }
 
 impl ClientConnection {
@@ -50,7 +49,7 @@
         let (reader, writer) = stream.into_split();
         let reader = MessageReader::new(reader, BytesMut::new());
         let idle_since = Instant::now();
-        Ok(Self { reader, writer, address, idle_since, idle_limit, reused: false })
+        Ok(Self { reader, writer, address, idle_since, idle_limit })
     }
 
     /// Address of the server.
@@ -58,11 +57,6 @@
         self.address
     }
 
-    /// Whether the connection carried a request before.
-    pub fn reused(&self) -> bool {
-        self.reused
-    }
-
     /// Whether a further request may be sent, `margin` before the server's idle limit.
     pub fn usable(&self, now: Instant, margin: Duration) -> bool {
         let quiet = self.reader.buffered() == 0;
@@ -77,7 +71,6 @@
     /// Notes that an answer is complete and the connection idle.
     pub fn rest(&mut self, keep_alive: Option<Duration>) {
         self.idle_since = Instant::now();
-        self.reused = true;
         if let Some(limit) = keep_alive {
             self.idle_limit = limit;
         }
--- a/src/http1/message_reader.rs
+++ b/src/http1/message_reader.rs
@@ -23,11 +23,6 @@
         Self { source, buffer }
     }
 
-    /// Bytes that were read and belong to no message yet.
-    pub fn into_buffer(self) -> BytesMut {
-        self.buffer
-    }
-
     /// Number of bytes that were read and belong to no message yet.
     pub fn buffered(&self) -> usize {
         self.buffer.len()
--- a/src/relay/call_flow.rs
+++ b/src/relay/call_flow.rs
@@ -16,8 +16,9 @@
 use super::cascade_plan;
 use super::relay_config::CallKind;
 use super::relay_node::RelayNode;
-use super::replica_choice::{ChoiceRefusal, ChoiceRequest, ReplicaChoice};
+use super::replica_choice::{ChoiceContext, ChoiceRefusal, ChoiceRequest, ReplicaChoice};
 use super::replica_entry::ReplicaEntry;
+use super::replica_fleet::ReplicaFleet;
 use super::rollout_table::VersionChoice;
 use super::version_rule::VersionRule;
 use crate::error_body::RequestRefusal;
@@ -301,11 +302,9 @@
         progress: &CallProgress,
     ) -> Result<ReplicaChoice, ChoiceRefusal> {
         let versions = self.versions(job);
-        let members = self.member_names();
-        let context = self.choice_context(&members);
+        let (model, tried) = (progress.model, &progress.tried);
         let choose = |version: &VersionRule| {
-            let request = choice_request(job, version, progress.model, &progress.tried);
-            self.fleet.lock().choose(&request, &context)
+            self.ask_fleet(job, version, model, tried, ReplicaFleet::choose)
         };
         match (choose(&versions.first), &versions.fallback) {
             (Err(_), Some(fallback)) => choose(fallback),
@@ -315,11 +314,10 @@
 
     /// Requests at the replica that a call to a model of the route would go to.
     pub(super) fn occupied_choice(&self, job: &CallJob, model: usize) -> Option<u32> {
-        let versions = self.versions(job);
-        let members = self.member_names();
-        let context = self.choice_context(&members);
-        let request = choice_request(job, &versions.first, model, &[]);
-        self.fleet.lock().occupied_choice(&request, &context)
+        let version = self.versions(job).first;
+        self.ask_fleet(job, &version, model, &[], |fleet, request, context| {
+            fleet.occupied_choice(request, context)
+        })
     }
 
     /// Replicas whose loads decide where a call is placed, and are not known.
@@ -328,11 +326,25 @@
         job: &CallJob,
         progress: &CallProgress,
     ) -> SmallVec<[Arc<ReplicaEntry>; 4]> {
-        let versions = self.versions(job);
+        let version = self.versions(job).first;
+        self.ask_fleet(job, &version, progress.model, &progress.tried, |fleet, request, context| {
+            fleet.loads_to_ask(request, context)
+        })
+    }
+
+    /// Asks the table of replicas about an attempt of a call.
+    fn ask_fleet<T>(
+        &self,
+        job: &CallJob,
+        version: &VersionRule,
+        model: usize,
+        tried: &[ids::ReplicaName],
+        ask: impl FnOnce(&mut ReplicaFleet, &ChoiceRequest<'_>, &ChoiceContext<'_>) -> T,
+    ) -> T {
         let members = self.member_names();
         let context = self.choice_context(&members);
-        let request = choice_request(job, &versions.first, progress.model, &progress.tried);
-        self.fleet.lock().loads_to_ask(&request, &context)
+        let request = choice_request(job, version, model, tried);
+        ask(&mut self.fleet.lock(), &request, &context)
     }
 
     fn versions(&self, job: &CallJob) -> VersionChoice {
--- a/src/relay/call_request.rs
+++ b/src/relay/call_request.rs
@@ -47,11 +47,6 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
-    /// Tokens of the shared parts.
-    pub fn shared_tokens(&self) -> u32 {
-        self.shared_parts().iter().map(|part| part.tokens).sum()
-    }
-
     /// Identifier as text for logs.
     pub fn id_text(&self) -> String {
         self.id.as_ref().map(|id| String::from_utf8_lossy(id).into_owned()).unwrap_or_default()
--- a/src/relay/caller_writer.rs
+++ b/src/relay/caller_writer.rs
@@ -44,11 +44,6 @@
         self.closes = closes;
     }
 
-    /// Makes the current answer the last one on the connection.
-    pub fn close_after(&mut self) {
-        self.closes = true;
-    }
-
     /// Whether the connection ends after the current answer.
     pub fn closes(&self) -> bool {
         self.closes
