Write why a process cannot start to the log

Cause: the daemon printed faults of its settings and of its start to standard error and as an event besides, and both programs ended without any line when the recorder of the metrics or the runtime could not be made.

--- a/src/bin/yuccareeld.rs
+++ b/src/bin/yuccareeld.rs
@@ -17,33 +17,31 @@
             return ExitCode::SUCCESS;
         }
         Err(error) => {
-            eprintln!("{error}");
+            process_output::report_invalid_settings(&error);
             return ExitCode::from(USAGE_EXIT);
         }
     };
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::FAILURE
-        }
-    }
+    // What failed stands in the log.
+    run(settings).map_or(ExitCode::FAILURE, |()| ExitCode::SUCCESS)
 }
 
+/// Runs the instance and writes why it could not.
 fn run(settings: settings::Settings) -> Result<(), Box<dyn std::error::Error>> {
     let log = process_output::ProcessLog::start(&settings.name, settings.log_level);
-    let logger = log.logger.clone();
-    let metrics = process_output::install_metrics()?;
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-    let outcome = runtime.block_on(daemon::run(settings, logger.clone(), metrics));
+    let outcome = serve(settings, &log.logger);
     if let Err(error) = &outcome {
-        event_catalogue::emit(
-            &logger,
-            LogEvent::ListenFailed,
-            slog::o!("error" => error.to_string()),
-        );
+        let fields = slog::o!("error" => error.to_string());
+        event_catalogue::emit(&log.logger, LogEvent::StartFailed, fields);
     }
-    drop(logger);
     log.finish();
-    Ok(outcome?)
+    outcome
+}
+
+fn serve(
+    settings: settings::Settings,
+    logger: &slog::Logger,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let metrics = process_output::install_metrics()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    Ok(runtime.block_on(daemon::run(settings, logger.clone(), metrics))?)
 }
--- a/src/event_catalogue.rs
+++ b/src/event_catalogue.rs
@@ -42,6 +42,7 @@
     SettingsInvalid = 102 Critical "settings_invalid" "settings cannot be used";
     ListenFailed = 103 Critical "listen_failed" "address cannot be bound";
     InstanceReady = 104 Info "instance_ready" "instance takes requests";
+    StartFailed = 105 Critical "start_failed" "instance cannot start";
     ShutdownStarted = 110 Info "shutdown_started" "shutdown started; leaving the endpoint answers";
     ShutdownDraining = 111 Info "shutdown_draining" "no new requests are accepted; requests in flight complete";
     ShutdownFinished = 112 Info "shutdown_finished" "all requests are complete; instance exits";
--- a/src/process_output.rs
+++ b/src/process_output.rs
@@ -1,11 +1,14 @@
 //! What a process tells its operators: log lines on standard output, and metrics.
 
+use std::fmt::Display;
 use std::sync::mpsc;
 use std::time::Duration;
 
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use slog::Drain as _;
 
+use crate::event_catalogue::{self, LogEvent};
+
 /// Log lines that wait to be written; further ones are dropped and counted.
 const LOG_LINES: usize = 2_048;
 /// Time for the last lines to be written when the process ends. Nobody may be reading them.
@@ -51,6 +54,14 @@
     }
 }
 
+/// Writes the line of a process that cannot start with its settings.
+pub fn report_invalid_settings(error: &dyn Display) {
+    let log = ProcessLog::start("", slog::Level::Info);
+    let fields = slog::o!("error" => error.to_string());
+    event_catalogue::emit(&log.logger, LogEvent::SettingsInvalid, fields);
+    log.finish();
+}
+
 /// Installs the recorder of the metrics.
 ///
 /// # Errors
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -110,3 +110,34 @@
     let SettingsRequest::Help(text) = request else { panic!("no help") };
     insta::assert_snapshot!(text);
 }
+
+/// Guards against a daemon that does not start and says so in no line of the log.
+#[test]
+fn a_daemon_that_cannot_start_writes_why() {
+    struct StartCase {
+        name: &'static str,
+        arguments: &'static [&'static str],
+        code: i32,
+        event: &'static str,
+    }
+    let cases = [
+        StartCase {
+            name: "unknown setting",
+            arguments: &["--no-such-setting"],
+            code: 2,
+            event: "settings_invalid",
+        },
+        StartCase { name: "no settings", arguments: &[], code: 2, event: "settings_invalid" },
+    ];
+    for StartCase { name, arguments, code, event } in cases {
+        let done = std::process::Command::new(env!("CARGO_BIN_EXE_yuccareeld"))
+            .args(arguments)
+            .env_clear()
+            .output()
+            .unwrap();
+        assert_eq!(done.status.code(), Some(code), "{name}");
+        let line: serde_json::Value = serde_json::from_slice(&done.stdout).unwrap();
+        assert_eq!(line["code"], event, "{name}: {line}");
+        assert!(!line["error"].as_str().unwrap().is_empty(), "{name}: {line}");
+    }
+}
