--- a/src/relay/attempt_flow.rs
+++ b/src/relay/attempt_flow.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use super::attempt_budget::RepeatCause;
-use super::call_dialect::{AnswerSigns, AttemptMarks};
+use super::call_codec::{AnswerMetadata, AttemptMetadata};
 use super::call_failure::CallFailure;
 use super::call_flow::SendGuard;
 use super::call_job::{CallJob, CallProgress};
@@ -89,7 +89,7 @@
             () = given_up => None,
         };
         progress.repeat_paid = answer.is_none();
-        let (head, whole_request, signs) = match answer.unwrap_or(Err(MessageError::TimedOut)) {
+        let (head, whole_request, metadata) = match answer.unwrap_or(Err(MessageError::TimedOut)) {
             Ok(answer) => answer,
             Err(error) => {
                 let reason = self.record_cut(job, &entry, &error, sent_at.elapsed());
@@ -98,16 +98,16 @@
         };
         let waited = sent_at.elapsed();
         guard.first_byte();
-        self.record_signs(&entry, &signs);
-        if let Some(cause) = signs.distrust(&head) {
+        self.record_metadata(&entry, &metadata);
+        if let Some(cause) = metadata.distrust(&head) {
             let error = MessageError::Malformed(cause);
             self.record_cut(job, &entry, &error, waited);
             return Ok(AttemptEnd::Failed(RetryReason::BackendError));
         }
         progress.first_byte = Some(job.received.elapsed());
         if job.route.kind == CallKind::Stream && head.succeeded() {
-            progress.confidence = signs.confidence;
-            let next = self.next_model(job, progress, &signs);
+            progress.confidence = metadata.confidence;
+            let next = self.next_model(job, progress, &metadata);
             if let Some(model) = next.filter(|_| self.take_repeat(job, RepeatCause::StepUp)) {
                 progress.repeat_paid = true;
                 return Ok(AttemptEnd::StepUp(model));
@@ -133,7 +133,7 @@
             Ok(body) => body,
             Err(error) => {
                 let reason = self.record_cut(job, &entry, &error, waited);
-                return Ok(if signs.not_run {
+                return Ok(if metadata.not_run {
                     AttemptEnd::NotRun(reason)
                 } else {
                     AttemptEnd::Failed(reason)
@@ -143,14 +143,14 @@
         if whole_request && head.keeps_open {
             self.keep(connection, &head);
         }
-        if signs.misdirected {
+        if metadata.misdirected {
             self.pool.lock().forget(entry.address);
             if self.fleet.lock().record_misdirected(&entry.name) {
                 self.emit(LogEvent::ReplicaForeign, slog::o!("replica" => entry.name.to_string()));
             }
             return Ok(AttemptEnd::NotRun(RetryReason::VersionNotServed));
         }
-        if signs.not_run {
+        if metadata.not_run {
             return Ok(AttemptEnd::NotRun(RetryReason::BackendBusy));
         }
         self.record_answer(job, &entry, head.status >= 500, waited);
@@ -180,9 +180,9 @@
         progress: &CallProgress,
         entry: &ReplicaEntry,
         connection: &mut ClientConnection,
-    ) -> Result<(ResponseHead, bool, AnswerSigns), MessageError> {
+    ) -> Result<(ResponseHead, bool, AnswerMetadata), MessageError> {
         let model = job.chooses_model().then(|| &job.route.models[progress.model]);
-        let marks = AttemptMarks {
+        let metadata = AttemptMetadata {
             replica: &entry.name,
             customer: job.customer.as_ref().map(|customer| &customer.name),
             time_left: job.time_left(Instant::now()),
@@ -190,16 +190,16 @@
             priority: job.route.shares_prompts.then(|| job.priority()),
             last_event: progress.last_event.or(job.call.last_event),
         };
-        let text = self.calls.write_attempt(&job.head, &marks, job.body.len());
+        let text = self.calls.write_attempt(&job.head, &metadata, job.body.len());
         let (mut head, whole_request) = connection.exchange(&text, &job.body).await?;
         for _ in 0..SKIPPED_ANSWERS {
             if &job.head.method[..] == b"HEAD" {
                 // The length is that of the body that a GET would bring.
                 head.framing = BodyFraming::Length(0);
             }
-            let signs = self.calls.read_signs(&head);
-            if signs.request_id == job.call.id {
-                return Ok((head, whole_request, signs));
+            let metadata = self.calls.read_metadata(&head);
+            if metadata.request_id == job.call.id {
+                return Ok((head, whole_request, metadata));
             }
             let fields = slog::o!(
                 "request" => job.call.id_text(), "replica" => entry.name.to_string(),
@@ -236,7 +236,7 @@
         &self,
         job: &CallJob,
         progress: &CallProgress,
-        signs: &AnswerSigns,
+        metadata: &AnswerMetadata,
     ) -> Option<usize> {
         if !job.chooses_model() || progress.events > 0 {
             return None;
@@ -246,7 +246,7 @@
             model: progress.model,
             models: job.route.models.len(),
             repeatable: self.may_run_again(job, progress),
-            confidence: signs.confidence,
+            confidence: metadata.confidence,
             objective_left: job.objective_left(Instant::now()),
             objective: job.route.objective,
             occupied: self.occupied_choice(job, largest),
--- a/src/relay/attempt_outcome.rs
+++ b/src/relay/attempt_outcome.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use super::call_dialect::AnswerSigns;
+use super::call_codec::AnswerMetadata;
 use super::call_job::CallJob;
 use super::relay_node::RelayNode;
 use super::replica_entry::ReplicaEntry;
@@ -18,13 +18,13 @@
 
 impl RelayNode {
     /// Takes over what the replica says of itself.
-    pub(super) fn record_signs(&self, entry: &ReplicaEntry, signs: &AnswerSigns) {
+    pub(super) fn record_metadata(&self, entry: &ReplicaEntry, metadata: &AnswerMetadata) {
         let now = Instant::now();
         let mut fleet = self.fleet.lock();
-        if let Some(load) = signs.load {
+        if let Some(load) = metadata.load {
             fleet.record_load(&entry.name, load, now);
         }
-        if let Some(cold_left) = signs.cold_left {
+        if let Some(cold_left) = metadata.cold_left {
             fleet.record_cold(&entry.name, cold_left, now);
         }
     }
@@ -37,11 +37,11 @@
         error: &MessageError,
         waited: Duration,
     ) -> RetryReason {
-        let (sign, reason) = match error {
+        let (outcome, reason) = match error {
             MessageError::TimedOut => (HealthOutcome::Silent, RetryReason::ProgressTimeout),
             _ => (HealthOutcome::Cut, RetryReason::StreamTruncated),
         };
-        self.record_health(entry, sign, Some(error));
+        self.record_health(entry, outcome, Some(error));
         self.record_evidence(job, entry, true, waited);
         reason
     }
@@ -54,8 +54,8 @@
         failed: bool,
         waited: Duration,
     ) {
-        let sign = if failed { HealthOutcome::Failure } else { HealthOutcome::Good };
-        self.record_health(entry, sign, None);
+        let outcome = if failed { HealthOutcome::Failure } else { HealthOutcome::Good };
+        self.record_health(entry, outcome, None);
         self.record_evidence(job, entry, failed, waited);
     }
 
@@ -70,15 +70,15 @@
     pub(super) fn record_health(
         &self,
         entry: &ReplicaEntry,
-        sign: HealthOutcome,
+        outcome: HealthOutcome,
         error: Option<&MessageError>,
     ) {
-        if matches!(sign, HealthOutcome::Silent | HealthOutcome::Unreachable) {
+        if matches!(outcome, HealthOutcome::Silent | HealthOutcome::Unreachable) {
             self.pool.lock().forget(entry.address);
         }
-        if self.fleet.lock().record_health(&entry.name, sign, Instant::now()) {
+        if self.fleet.lock().record_health(&entry.name, outcome, Instant::now()) {
             let fields = slog::o!(
-                "replica" => entry.name.to_string(), "sign" => format!("{sign:?}"),
+                "replica" => entry.name.to_string(), "outcome" => format!("{outcome:?}"),
                 "error" => error.map(ToString::to_string),
             );
             self.emit(LogEvent::ReplicaAvoided, fields);
--- a/src/relay/call_dialect.rs
+++ b/src/relay/call_codec.rs
@@ -12,7 +12,7 @@
 
 /// What the router states of an attempt in the request to the replica.
 #[derive(Clone, Debug)]
-pub struct AttemptMarks<'a> {
+pub struct AttemptMetadata<'a> {
     /// Replica that is meant; another one at the same address refuses.
     pub replica: &'a ids::ReplicaName,
     /// Customer to whom the caller's key belongs.
@@ -38,7 +38,7 @@
 
 /// What the head of a replica's answer says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct AnswerSigns {
+pub struct AnswerMetadata {
     /// Identifier of the request that is answered.
     pub request_id: Option<Bytes>,
     /// Replica proves that the request did not run and will not.
@@ -55,7 +55,7 @@
     pub cold_left: Option<Duration>,
 }
 
-impl AnswerSigns {
+impl AnswerMetadata {
     /// Why an answer must not be passed on; none for one that may be.
     ///
     /// A success must be the replica's own. A status that promises callers that a request did not
@@ -88,7 +88,7 @@
 }
 
 /// Reads and writes the heads of the platform's messages.
-pub trait CallDialect: Send + Sync {
+pub trait CallCodec: Send + Sync {
     /// Reads what a caller says of its call.
     fn read_call(&self, head: &RequestHead) -> CallRequest;
 
@@ -96,12 +96,12 @@
     fn write_attempt(
         &self,
         head: &RequestHead,
-        marks: &AttemptMarks<'_>,
+        metadata: &AttemptMetadata<'_>,
         body_bytes: usize,
     ) -> Vec<u8>;
 
     /// Reads what a replica says in the head of its answer.
-    fn read_signs(&self, head: &ResponseHead) -> AnswerSigns;
+    fn read_metadata(&self, head: &ResponseHead) -> AnswerMetadata;
 
     /// Writes the question for the load of a replica at an address.
     fn write_load_question(&self, address: SocketAddr) -> Vec<u8>;
--- a/src/relay/entry_server.rs
+++ b/src/relay/entry_server.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::accept_loop;
-use super::call_dialect::EntryCall;
+use super::call_codec::EntryCall;
 use super::caller_writer::{CallerWriter, JSON_TYPE};
 use super::relay_node::RelayNode;
 use crate::http1::connection;
--- a/src/relay/load_question.rs
+++ b/src/relay/load_question.rs
@@ -9,7 +9,7 @@
 use futures::future;
 use tokio::time::Instant;
 
-use super::call_dialect::ReplicaLoad;
+use super::call_codec::ReplicaLoad;
 use super::call_job::{CallJob, CallProgress};
 use super::relay_node::RelayNode;
 use super::replica_entry::ReplicaEntry;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,14 +7,14 @@
 //! Pure modules decide: `attempt_budget`, `cold_budget`, `cascade_plan`, `replica_score`,
 //! `read_pace`, `retry_pause`, `rollout_plan`, `event_splitter`. Edges call them: `caller_server`,
 //! `entry_server`, `call_flow`, `load_question`, `store_mirror`, `member_registry`,
-//! `rollout_duty`. `call_dialect` and `store_dialect` are the traits that an adapter implements;
+//! `rollout_duty`. `call_codec` and `store_codec` are the traits that an adapter implements;
 //! nothing here knows the names that a platform uses on the wire.
 
 mod accept_loop;
 pub mod attempt_budget;
 mod attempt_flow;
 mod attempt_outcome;
-pub mod call_dialect;
+pub mod call_codec;
 mod call_failure;
 pub mod call_flow;
 pub mod call_job;
@@ -49,7 +49,7 @@
 pub mod rollout_duty;
 pub mod rollout_plan;
 pub mod rollout_table;
-pub mod store_dialect;
+pub mod store_codec;
 pub mod store_mirror;
 pub mod store_paths;
 pub mod store_tunnel;
--- a/src/relay/relay_node.rs
+++ b/src/relay/relay_node.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::attempt_budget::AttemptBudget;
-use super::call_dialect::CallDialect;
+use super::call_codec::CallCodec;
 use super::cold_budget::ColdBound;
 use super::connection_pool::ConnectionPool;
 use super::log_limiter::LogLimiter;
@@ -21,7 +21,7 @@
 use super::replica_choice::ChoiceContext;
 use super::replica_fleet::ReplicaFleet;
 use super::rollout_table::RolloutTable;
-use super::store_dialect::StoreDialect;
+use super::store_codec::StoreCodec;
 use super::store_paths::StorePaths;
 use crate::event_catalogue::{self, LogEvent};
 use crate::ids;
@@ -44,9 +44,9 @@
     /// Settings.
     pub settings: RelaySettings,
     /// Heads of messages.
-    pub calls: Arc<dyn CallDialect>,
+    pub calls: Arc<dyn CallCodec>,
     /// Records of the store.
-    pub records: Arc<dyn StoreDialect>,
+    pub records: Arc<dyn StoreCodec>,
     /// Store.
     pub store: Arc<StorePaths>,
     /// Log.
@@ -58,9 +58,9 @@
     /// Settings.
     pub settings: RelaySettings,
     /// Heads of messages.
-    pub calls: Arc<dyn CallDialect>,
+    pub calls: Arc<dyn CallCodec>,
     /// Records of the store.
-    pub records: Arc<dyn StoreDialect>,
+    pub records: Arc<dyn StoreCodec>,
     /// Store.
     pub store: Arc<StorePaths>,
     /// Configuration in force, once one was read.
--- a/src/relay/replica_fleet.rs
+++ b/src/relay/replica_fleet.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::call_dialect::ReplicaLoad;
+use super::call_codec::ReplicaLoad;
 use super::lapsing_table::LapsingTable;
 use super::replica_choice::{ChoiceContext, ChoiceRefusal, ChoiceRequest, ReplicaChoice};
 use super::replica_entry::{EntryState, ReplicaEntry};
@@ -254,13 +254,13 @@
     }
 
     /// Counts the end of an attempt; returns whether the replica is avoided from now on.
-    pub fn record_health(&mut self, name: &str, sign: HealthOutcome, now: Instant) -> bool {
+    pub fn record_health(&mut self, name: &str, outcome: HealthOutcome, now: Instant) -> bool {
         let Some(row) = self.rows.get_mut(name) else { return false };
-        if sign == HealthOutcome::Unreachable {
+        if outcome == HealthOutcome::Unreachable {
             // The process may be back under the same name, and cold, before its entry says so.
             row.suspected_cold_until = Some(now + SUSPECTED_COLD_TIME);
         }
-        row.health.record(sign, now)
+        row.health.record(outcome, now)
     }
 
     /// Notes that another replica has the address: this one is gone.
--- a/src/relay/replica_row.rs
+++ b/src/relay/replica_row.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::Instant;
 
-use super::call_dialect::ReplicaLoad;
+use super::call_codec::ReplicaLoad;
 use super::cold_budget;
 use super::replica_choice::ChoiceRequest;
 use super::replica_entry::ReplicaEntry;
--- a/src/relay/rollout_duty.rs
+++ b/src/relay/rollout_duty.rs
@@ -15,7 +15,7 @@
 use super::relay_node::{LifeStage, RelayNode};
 use super::rollout_plan::{self, RolloutPhase, RolloutView};
 use super::rollout_table::{EvidenceRecord, RolloutRecord, RolloutRow};
-use super::store_dialect::{RolloutOrder, RolloutStatus};
+use super::store_codec::{RolloutOrder, RolloutStatus};
 use super::version_rule::VersionRule;
 use crate::event_catalogue::LogEvent;
 use crate::ids;
--- a/src/relay/rollout_table.rs
+++ b/src/relay/rollout_table.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use super::rollout_plan::{self, RolloutPhase};
-use super::store_dialect::RolloutOrder;
+use super::store_codec::RolloutOrder;
 use super::version_rule::VersionRule;
 use crate::ids;
 use crate::rollout_evidence::{EvidenceBlock, VersionEvidence};
--- a/src/relay/store_dialect.rs
+++ b/src/relay/store_codec.rs
@@ -49,7 +49,7 @@
 pub struct UnreadableRecord(pub String);
 
 /// Reads and writes the platform's records.
-pub trait StoreDialect: Send + Sync {
+pub trait StoreCodec: Send + Sync {
     /// Prefix of what operators write.
     fn operator_prefix(&self) -> &str;
 
--- a/src/relay/store_mirror.rs
+++ b/src/relay/store_mirror.rs
@@ -17,7 +17,7 @@
 use super::replica_fleet::EntryChange;
 use super::retry_pause::RetryPause;
 use super::rollout_duty;
-use super::store_dialect::StoreSubject;
+use super::store_codec::StoreSubject;
 use crate::event_catalogue::LogEvent;
 use crate::ids;
 use crate::kv_store::{KvEntry, KvError, KvEvent, KvStore as _};
--- a/tests/relay_rollout.rs
+++ b/tests/relay_rollout.rs
@@ -6,7 +6,7 @@
 use yuccareel::ids;
 use yuccareel::relay::rollout_plan::{RolloutPhase, RolloutView, next_phase, takes_target};
 use yuccareel::relay::rollout_table::{EvidenceRecord, RolloutRecord, RolloutTable};
-use yuccareel::relay::store_dialect::RolloutOrder;
+use yuccareel::relay::store_codec::RolloutOrder;
 use yuccareel::relay::version_rule::VersionRule;
 use yuccareel::rollout_evidence::{EvidenceBlock, VersionEvidence};
 
--- a/tests/replica_fleet.rs
+++ b/tests/replica_fleet.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::Instant;
 use yuccareel::ids;
-use yuccareel::relay::call_dialect::ReplicaLoad;
+use yuccareel::relay::call_codec::ReplicaLoad;
 use yuccareel::relay::call_request::PromptPart;
 use yuccareel::relay::cold_budget::ColdBound;
 use yuccareel::relay::replica_choice::{ChoiceContext, ChoiceRefusal, ChoiceRequest};
