Split the tests of calls and of the table of replicas by subject

Streams and the placement of calls have files of their own, so has the choice of a replica for calls with prompts; both tests of the table share their world. The tests are the same.

--- /dev/null
+++ b/tests/fleet_world/mod.rs
@@ -0,0 +1,137 @@
+//! Table of replicas with what a choice among them needs.
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use yuccareel::ids;
+use yuccareel::relay::call_request::PromptPart;
+use yuccareel::relay::cold_budget::ColdBound;
+use yuccareel::relay::replica_choice::{ChoiceContext, ChoiceRefusal, ChoiceRequest};
+use yuccareel::relay::replica_entry::{EntryState, ReplicaEntry};
+use yuccareel::relay::replica_fleet::ReplicaFleet;
+use yuccareel::relay::version_rule::VersionRule;
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn entry(name: &str) -> ReplicaEntry {
+    ReplicaEntry {
+        name: name.into(),
+        service: "pool".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "a".into(),
+        version: "v1".into(),
+        slots: 4,
+        state: EntryState::Ready,
+        cold_left: Duration::ZERO,
+        sequence: 1,
+        started_unix_ms: Some(1),
+        models: Vec::new(),
+    }
+}
+
+/// What a call asks of its replica.
+pub struct CallNeeds {
+    pub version: VersionRule,
+    pub model: Option<ids::ModelName>,
+    pub homes: Vec<Arc<str>>,
+    pub customer_homes: Vec<Arc<str>>,
+    pub shared: Vec<PromptPart>,
+    pub prompt_tokens: u32,
+    pub model_weight: f64,
+}
+
+impl Default for CallNeeds {
+    fn default() -> Self {
+        Self {
+            version: VersionRule::Any,
+            model: None,
+            homes: Vec::new(),
+            customer_homes: Vec::new(),
+            shared: Vec::new(),
+            prompt_tokens: 0,
+            model_weight: 1.0,
+        }
+    }
+}
+
+/// Everything around a fleet that a choice needs.
+pub struct FleetWorld {
+    pub fleet: ReplicaFleet,
+    pub members: Vec<ids::InstanceName>,
+    pub regions: HashMap<ids::DataCentreName, Arc<str>>,
+    pub now: Instant,
+}
+
+impl FleetWorld {
+    pub fn new(entries: &[ReplicaEntry]) -> Self {
+        let now = Instant::now();
+        let mut fleet = ReplicaFleet::default();
+        for entry in entries {
+            fleet.put(entry.clone(), now);
+        }
+        let regions = [("a", "west"), ("b", "west"), ("c", "east")];
+        Self {
+            fleet,
+            members: vec!["me".into()],
+            regions: regions.map(|(centre, region)| (centre.into(), region.into())).into(),
+            now,
+        }
+    }
+
+    pub fn with_call<T>(
+        &mut self,
+        call: &CallNeeds,
+        act: impl FnOnce(&mut ReplicaFleet, &ChoiceRequest<'_>, &ChoiceContext<'_>) -> T,
+    ) -> T {
+        let service: ids::ServiceName = "pool".into();
+        let (instance, data_centre) = ("me".into(), "a".into());
+        let request = ChoiceRequest {
+            service: &service,
+            version: &call.version,
+            model: call.model.as_ref(),
+            homes: [&call.homes, &call.customer_homes],
+            tried: &[],
+            shared: &call.shared,
+            prompt_tokens: call.prompt_tokens,
+            model_weight: call.model_weight,
+            cold_rate_per_s: 6.0,
+        };
+        let context = ChoiceContext {
+            instance: &instance,
+            data_centre: &data_centre,
+            regions: &self.regions,
+            members: &self.members,
+            cold: ColdBound { factor: 1.5, slack: 5.0 },
+            now: self.now,
+        };
+        act(&mut self.fleet, &request, &context)
+    }
+
+    pub fn choose_call(&mut self, call: &CallNeeds) -> Result<String, ChoiceRefusal> {
+        self.with_call(call, |fleet, request, context| {
+            fleet.choose(request, context).map(|choice| choice.entry.name.to_string())
+        })
+    }
+
+    /// Replicas that would be asked for their load before a call.
+    pub fn asked(&mut self, call: &CallNeeds) -> Vec<String> {
+        self.with_call(call, |fleet, request, context| {
+            let entries = fleet.loads_to_ask(request, context);
+            entries.iter().map(|entry| entry.name.to_string()).collect()
+        })
+    }
+
+    pub fn choose(&mut self) -> Result<String, ChoiceRefusal> {
+        self.choose_call(&CallNeeds::default())
+    }
+}
+
+/// Call of the largest model with a long prompt.
+pub fn long_call() -> CallNeeds {
+    CallNeeds { model: Some("large".into()), prompt_tokens: 12_000, ..CallNeeds::default() }
+}
