Assume the mean load of its group for a replica without a recent report

From second 6 on, 81 to 93% of the calls of one data centre went to 28 of 140 replicas, those reserved for small models, and 96 to 99% of the choices used a load report older than two seconds, or none (log lines attempt_retried and request_relayed, fields replica and load_age_ms). A replica of unknown load counted as idle, so each of 84 instances, which sees few answers of each replica, kept sending to replicas that rejected half of the calls. First tokens then came after half of the objective, no call was escalated, and the other 112 replicas were idle. Change: a load report loses weight with age, and the rest is the mean of the replicas of the same group. The reserved replicas are found by a stored rank instead of a search by name for each replica. Ruled out: escalations (1.06 runs a call), cold prompt caches (a consequence).

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -30,6 +30,7 @@
 pub mod discovery_server;
 pub mod event_splitter;
 pub mod expiring_table;
+pub mod load_prior;
 mod load_probe;
 pub mod log_limiter;
 pub mod member_list;
--- a/src/relay/replica_row.rs
+++ b/src/relay/replica_row.rs
@@ -8,12 +8,12 @@
 
 use super::call_codec::ReplicaLoad;
 use super::cold_budget;
+use super::load_prior::{self, LOAD_TTL, LoadEstimate, LoadPrior};
 use super::replica_choice::ChoiceRequest;
 use super::replica_entry::ReplicaEntry;
 use super::replica_health::ReplicaHealth;
+use crate::rendezvous;
 
-/// Time for which a reported load is used.
-const LOAD_TTL: Duration = Duration::from_secs(2);
 /// Age below which a load is not probed again: a replica's own report can be as old.
 const MAX_FRESH_LOAD_AGE: Duration = Duration::from_millis(150);
 /// Time since its last use for which a prefix is assumed to stay in the cache of a replica.
@@ -27,6 +27,8 @@
 pub(super) struct ReplicaRow {
     pub(super) entry: Arc<ReplicaEntry>,
     pub(super) entry_read_at: Instant,
+    /// Rank of the replica in the selection of those reserved for small models.
+    pub(super) small_model_rank: u64,
     /// End of the cold period that the replica reported.
     pub(super) cold_until: Instant,
     /// End of the period in which the replica may be cold although it has not reported so.
@@ -51,6 +53,7 @@
 impl ReplicaRow {
     pub(super) fn new(entry: ReplicaEntry, now: Instant, cold_until: Instant) -> Self {
         Self {
+            small_model_rank: rendezvous::member_rank("small models", &entry.name),
             entry: Arc::new(entry),
             entry_read_at: now,
             cold_until,
@@ -83,6 +86,22 @@
         reported.max(self.in_flight)
     }
 
+    /// Last reported load and its weight by its age; zero without a report.
+    pub(super) fn weighted_load(&self, now: Instant) -> (LoadEstimate, f64) {
+        self.reported_load.map_or((LoadEstimate::default(), 0.0), |(load, at)| {
+            let weight = load_prior::report_weight(now.saturating_duration_since(at));
+            (LoadEstimate::from_report(load, self.sent_since_load), weight)
+        })
+    }
+
+    /// Load of the replica by its last report and, as that ages, by the mean of its group, but at
+    /// least the calls of this instance.
+    pub(super) fn estimated_load(&self, prior: &LoadPrior, now: Instant) -> LoadEstimate {
+        let (reported, weight) = self.weighted_load(now);
+        let load = prior.blend(reported, weight);
+        LoadEstimate { requests: load.requests.max(f64::from(self.in_flight)), ..load }
+    }
+
     /// Age of the last load report; `None` if there is none.
     pub(super) fn load_age(&self, now: Instant) -> Option<Duration> {
         self.reported_load.map(|(_, at)| now.saturating_duration_since(at))
--- a/src/relay/replica_score.rs
+++ b/src/relay/replica_score.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use super::cold_budget;
+use super::load_prior::LoadPrior;
 use super::replica_choice::{ChoiceContext, ChoiceRefusal, ChoiceRequest, PrefixKeys};
 use super::replica_row::ReplicaRow;
 use crate::{ids, rendezvous};
@@ -34,22 +35,22 @@
 const SMALL_OUTSIDE_GROUP_COST_TOKENS: f64 = 2_000.0;
 /// Cost of a call to a large model on a reserved replica, in prompt tokens of the largest model.
 const LARGE_IN_SMALL_GROUP_COST_TOKENS: f64 = 8_000.0;
+/// Requests per slot above which a load report no longer raises the mean of its group, so that one
+/// absurd report does not make all replicas look full.
+const MAX_LOAD_PER_SLOT: f64 = 4.0;
 /// Cost of a call of a plain service to another data centre, in slots.
 const REMOTE_COST_SLOTS: f64 = 0.5;
 /// Cost of a replica of a plain service that fails all its calls, in slots.
 const FAILURE_COST_SLOTS: f64 = 6.0;
 
-/// Selects the replicas reserved for small models. Rendezvous hashing gives all instances the same
-/// selection.
-fn small_model_replicas<'a>(
-    names: impl Iterator<Item = &'a ids::ReplicaName>,
-) -> SmallVec<[&'a ids::ReplicaName; 8]> {
-    let mut names: SmallVec<[&ids::ReplicaName; 32]> = names.collect();
-    let group_size = (names.len() as f64 * SMALL_MODEL_FRACTION).round() as usize;
-    names.sort_unstable_by_key(|name| {
-        std::cmp::Reverse(rendezvous::member_rank("small models", name))
-    });
-    names.into_iter().take(group_size).collect()
+/// Lowest [`ReplicaRow::small_model_rank`] of the replicas reserved for small models; `None` if there
+/// are none. The ranks come from rendezvous hashing, so all instances make the same selection.
+fn min_reserved_rank(rows: &[&ReplicaRow]) -> Option<u64> {
+    let group_size = (rows.len() as f64 * SMALL_MODEL_FRACTION).round() as usize;
+    let index = group_size.checked_sub(1)?;
+    let mut ranks: SmallVec<[u64; 32]> = rows.iter().map(|row| row.small_model_rank).collect();
+    let (_, rank, _) = ranks.select_nth_unstable_by_key(index, |rank| std::cmp::Reverse(*rank));
+    Some(*rank)
 }
 
 /// Estimates the cost of one call at each replica.
@@ -59,7 +60,10 @@
     prefixes: PrefixKeys,
     /// Replica to which all instances send prompts with the same prefix, by rendezvous hashing.
     preferred: Option<&'a ids::ReplicaName>,
-    small_model_group: SmallVec<[&'a ids::ReplicaName; 8]>,
+    min_reserved_rank: Option<u64>,
+    /// Mean loads of the group for the called model and of the other replicas.
+    group_prior: LoadPrior,
+    outside_prior: LoadPrior,
 }
 
 impl<'a> ReplicaScorer<'a> {
@@ -68,23 +72,50 @@
         request: &'a ChoiceRequest<'a>,
         context: &'a ChoiceContext<'a>,
     ) -> Self {
-        let names = || warm.iter().map(|row| &row.entry.name);
         let prefixes = request.prefix_keys();
-        let small_model_group = small_model_replicas(names());
-        let mut scorer = Self { request, context, prefixes, preferred: None, small_model_group };
+        let mut scorer = Self {
+            request,
+            context,
+            prefixes,
+            preferred: None,
+            min_reserved_rank: min_reserved_rank(warm),
+            group_prior: LoadPrior::default(),
+            outside_prior: LoadPrior::default(),
+        };
         scorer.preferred = scorer.prefixes.last().and_then(|(key, _)| {
             let key = key.to_string();
-            names().max_by_key(|name| {
-                (scorer.is_in_model_group(name), rendezvous::member_rank(&key, name))
-            })
+            let rank = |row: &&&ReplicaRow| {
+                (scorer.is_in_model_group(row), rendezvous::member_rank(&key, &row.entry.name))
+            };
+            warm.iter().max_by_key(rank).map(|row| &row.entry.name)
         });
+        if request.prompt_tokens > 0 {
+            scorer.add_reports(warm);
+        }
         scorer
     }
 
+    fn add_reports(&mut self, warm: &[&'a ReplicaRow]) {
+        for row in warm {
+            let (load, weight) = row.weighted_load(self.context.now);
+            let load = load.capped(f64::from(row.entry.slots.max(1)) * MAX_LOAD_PER_SLOT);
+            if self.is_in_model_group(row) {
+                self.group_prior.add(load, weight);
+            } else {
+                self.outside_prior.add(load, weight);
+            }
+        }
+    }
+
+    fn prior(&self, row: &ReplicaRow) -> &LoadPrior {
+        if self.is_in_model_group(row) { &self.group_prior } else { &self.outside_prior }
+    }
+
     /// Whether a replica is in the group for the called model: the reserved replicas for a small
     /// model, all others for a large one.
-    fn is_in_model_group(&self, name: &ids::ReplicaName) -> bool {
-        self.small_model_group.contains(&name) == self.request.is_small_model()
+    fn is_in_model_group(&self, row: &ReplicaRow) -> bool {
+        let is_reserved = self.min_reserved_rank.is_some_and(|min| row.small_model_rank >= min);
+        is_reserved == self.request.is_small_model()
     }
 
     /// Cost of the call at a replica, in slots for a plain service and in prompt tokens otherwise;
@@ -109,7 +140,7 @@
             uncached_tokens = uncached_tokens
                 .min(f64::from(request.prompt_tokens) - prefix_tokens * PREFERRED_CACHED_FRACTION);
         }
-        let group_cost = match (self.is_in_model_group(&row.entry.name), request.is_small_model()) {
+        let group_cost = match (self.is_in_model_group(row), request.is_small_model()) {
             _ if request.model.is_none() => 0.0,
             (true, _) => 0.0,
             (false, true) => SMALL_OUTSIDE_GROUP_COST_TOKENS,
@@ -117,12 +148,11 @@
         };
         // The score uses the maximum of both, not the sum, because calls of this instance without a
         // first byte are among the waiting requests.
-        let waiting_cost = f64::from(row.waiting_requests(now))
-            * WAITING_REQUEST_COST_TOKENS
-            * request.model_weight;
+        let load = row.estimated_load(self.prior(row), now);
+        let waiting_cost = load.waiting * WAITING_REQUEST_COST_TOKENS * request.model_weight;
         uncached_tokens * (request.model_weight + EVICTION_COST_PER_TOKEN)
             + row.pending_prefill_cost.max(waiting_cost)
-            + f64::from(row.estimated_requests(now)) * RUNNING_REQUEST_COST_TOKENS
+            + load.requests * RUNNING_REQUEST_COST_TOKENS
             + if self.is_local(row) { 0.0 } else { REMOTE_COST_TOKENS }
             + group_cost
     }
