Read the store once for the instances of a data centre

Change: the instances of a data centre take changes from a reader among them (relay/shared_feed), with revisions and ages; an instance whose records get too old, or whose reader does not answer, reads the store. The mirrors keep their records in a log from which others are served. An instance that is asked ends its long poll: the first run of the test with processes showed records of a reader that were 3.5 s old, as its poll had started before it had readers. The model found batches that left a gap at a restarted instance; batches now state where they start.

--- a/src/event_catalogue.rs
+++ b/src/event_catalogue.rs
@@ -66,6 +66,8 @@
     StoreLost = 402 Warning "store_lost" "store is unreachable; cached data stays in use";
     StoreReturned = 403 Info "store_returned" "store is reachable again";
     TunnelOpened = 404 Info "tunnel_opened" "tunnel to the store opened for a peer";
+    ReaderFailed = 405 Info "reader_failed" "no usable records from the reader of the data centre; reading the store";
+    FeedRejected = 406 Warning "feed_rejected" "connection for shared records rejected";
     RequestRefused = 501 Debug "request_refused" "request refused";
     AttemptRetried = 502 Debug "attempt_retried" "attempt failed; retrying";
     RequestRelayed = 503 Info "request_relayed" "request answered by a replica";
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -1,11 +1,11 @@
 //! Client side of a connection.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::AsyncWriteExt as _;
-use tokio::net::{TcpStream, tcp};
+use tokio::net::{TcpSocket, TcpStream, tcp};
 use tokio::time::Instant;
 
 use super::body_decoder::BodyDecoder;
@@ -45,6 +45,31 @@
     ) -> Result<Self, MessageError> {
         let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
         let stream = connecting.await.map_err(|_| MessageError::TimedOut)??;
+        Self::open(stream, address, idle_timeout)
+    }
+
+    /// Connects to an address from a local one, by which the server knows this instance.
+    ///
+    /// # Errors
+    /// When the connection fails or is not established within `timeout`.
+    pub async fn connect_from(
+        local: IpAddr,
+        address: SocketAddr,
+        timeout: Duration,
+        idle_timeout: Duration,
+    ) -> Result<Self, MessageError> {
+        let socket = if local.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.bind(SocketAddr::new(local, 0))?;
+        let connecting = tokio::time::timeout(timeout, socket.connect(address));
+        let stream = connecting.await.map_err(|_| MessageError::TimedOut)??;
+        Self::open(stream, address, idle_timeout)
+    }
+
+    fn open(
+        stream: TcpStream,
+        address: SocketAddr,
+        idle_timeout: Duration,
+    ) -> Result<Self, MessageError> {
         set_socket_options(&stream)?;
         let (reader, writer) = stream.into_split();
         let reader = MessageReader::new(reader, BytesMut::new());
--- a/src/relay/member_list.rs
+++ b/src/relay/member_list.rs
@@ -1,6 +1,6 @@
 //! Instances of the fleet, from their entries in the store.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +25,12 @@
     pub data_centre: Arc<str>,
     /// Empty if the region of the data centre is not configured.
     pub region: Arc<str>,
+    /// Address from which others take the store's changes; `None` in entries of older versions.
+    #[serde(default)]
+    pub feed: Option<SocketAddr>,
+    /// Speed of the instance's link in Mbit/s.
+    #[serde(default)]
+    pub link_mbps: u32,
 }
 
 #[derive(Debug)]
@@ -85,6 +91,16 @@
         self.rows.len()
     }
 
+    /// Whether a member has this address.
+    pub fn has_address(&self, address: IpAddr) -> bool {
+        self.rows.values().any(|row| row.entry.calls.ip() == address)
+    }
+
+    /// Number of members in a data centre.
+    pub fn count_in(&self, data_centre: &str) -> usize {
+        self.rows.values().filter(|row| *row.entry.data_centre == *data_centre).count()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.rows.is_empty()
     }
--- a/src/relay/member_registry.rs
+++ b/src/relay/member_registry.rs
@@ -84,6 +84,8 @@
         tunnel: settings.listen.tunnel,
         data_centre: settings.data_centre.clone(),
         region: settings.region().cloned().unwrap_or_else(|| "".into()),
+        feed: Some(settings.listen.feed),
+        link_mbps: settings.link_mbps,
     };
     let value =
         serde_json::to_vec(&entry).map_err(|error| KvError::Unreadable(error.to_string()))?;
--- a/src/relay/relay_node.rs
+++ b/src/relay/relay_node.rs
@@ -24,6 +24,7 @@
 use super::replica_choice::ChoiceContext;
 use super::replica_fleet::ReplicaFleet;
 use super::rollout_table::RolloutTable;
+use super::shared_feed::feed_table::FeedTable;
 use super::store_codec::StoreCodec;
 use super::store_paths::StorePaths;
 use crate::event_catalogue::{self, LogEvent};
@@ -63,6 +64,8 @@
     /// Instances that are registered in the store.
     pub members: Mutex<MemberList>,
     pub rollouts: Mutex<RolloutTable>,
+    /// Records of the store as this instance has read them.
+    pub feeds: FeedTable,
     /// Budget of retries and escalations.
     pub attempt_budget: Mutex<AttemptBudget>,
     /// Idle connections to replicas.
@@ -96,6 +99,7 @@
             fleet: Mutex::default(),
             members: Mutex::default(),
             rollouts: Mutex::default(),
+            feeds: FeedTable::default(),
             attempt_budget: Mutex::new(attempt_budget),
             connection_pool: Mutex::default(),
             member_lease: Mutex::default(),
--- a/src/relay/relay_service.rs
+++ b/src/relay/relay_service.rs
@@ -12,9 +12,11 @@
 use tokio::time::Instant;
 
 use super::discovery_server::{self, ServedEndpoints};
+use super::mirror_scope::MirrorScope;
 use super::relay_node::RelayNode;
 use super::rollout_controller::RolloutController;
-use super::store_mirror::{MirrorScope, StoreMirror};
+use super::shared_feed::feed_server;
+use super::store_mirror::StoreMirror;
 use super::{accept_loop, caller_server, member_registry, store_tunnel};
 use crate::event_catalogue::LogEvent;
 use crate::process_output;
@@ -58,6 +60,7 @@
         ));
     }
     tokio::spawn(store_tunnel::run(node.clone(), bind(listen.tunnel)?));
+    tokio::spawn(feed_server::run(node.clone(), bind(listen.feed)?));
     match bind(listen.metrics) {
         Ok(listener) => {
             let endpoints = ServedEndpoints::Metrics(metrics.clone());
@@ -66,7 +69,7 @@
         // Calls can be answered without metrics.
         Err(error) => node.emit(LogEvent::ListenFailed, slog::o!("error" => error.to_string())),
     }
-    for scope in [MirrorScope::Operators, MirrorScope::Replicas, MirrorScope::Instances] {
+    for scope in MirrorScope::ALL {
         tokio::spawn(StoreMirror::new(node.clone(), scope).run());
     }
     let registry = tokio::spawn(member_registry::run(node.clone()));
--- a/src/relay/relay_settings.rs
+++ b/src/relay/relay_settings.rs
@@ -16,6 +16,8 @@
     pub directory: SocketAddr,
     /// For connections of peers that cannot reach the store themselves.
     pub tunnel: SocketAddr,
+    /// For instances of the data centre that take the store's changes from this one.
+    pub feed: SocketAddr,
     pub metrics: SocketAddr,
 }
 
@@ -39,6 +41,8 @@
     pub max_directory_ttl: Duration,
     /// Time for which a replica still accepts calls after its entry was marked as leaving.
     pub replica_drain_grace: Duration,
+    /// Time within which a configuration must be in effect.
+    pub config_apply: Duration,
 }
 
 /// Settings of a relay instance.
@@ -55,6 +59,8 @@
     pub seed_tunnels: Vec<SocketAddr>,
     pub store: SocketAddr,
     pub bounds: FleetBounds,
+    /// Speed of the machine's link in Mbit/s.
+    pub link_mbps: u32,
     /// Memory limit of the process.
     pub memory_bytes: u64,
     /// Limit on sockets open at the same time.
--- a/src/relay/store_mirror.rs
+++ b/src/relay/store_mirror.rs
@@ -1,100 +1,54 @@
 //! Local copies of the records in the platform's store, kept current by polling.
 //!
-//! Each mirror reads its prefix once and then polls for the changes since the last revision. After
-//! a failed poll it resumes from that revision; if the store no longer has those changes, it reads
-//! the whole prefix again. The copies stay in use in the meantime.
+//! Each mirror reads its prefix once and then polls for the changes since the last revision, from
+//! the store or from the reader of its data centre (see `shared_feed`). After a failed poll it
+//! resumes from that revision; if the store no longer has those changes, it reads the whole prefix
+//! again. The copies stay in use in the meantime.
 
-use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use tokio::time::Instant;
 
 use super::change_feed::ChangeFeed as _;
 use super::member_list::MemberEntry;
+use super::mirror_scope::MirrorScope;
 use super::poll_interval::PollInterval;
 use super::relay_node::RelayNode;
 use super::replica_fleet::EntryChange;
 use super::retry_backoff::RetryBackoff;
 use super::rollout_controller;
+use super::shared_feed::feed_batch::{BatchContent, FeedBatch};
+use super::shared_feed::feed_client::{FeedClient, FeedError};
+use super::shared_feed::feed_message::FeedRequest;
+use super::shared_feed::reader_choice::{ReaderChoice, RecordSource};
 use super::store_codec::StoreKey;
 use crate::event_catalogue::LogEvent;
 use crate::ids;
 use crate::kv_store::{KvEntry, KvError, KvEvent, KvStore as _};
 
-/// Poll interval of the list of replicas, as a fraction of the time for which a draining replica
-/// still takes calls. Each replica writes its entry about once a second, so that polling without a
-/// pause would cost one call for each of these writes.
-const REPLICA_DRAIN_FRACTION: f64 = 0.4;
-/// Shortest poll interval of the list of replicas, for drain times near zero.
-const MIN_REPLICA_POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// Longest poll interval of the list of replicas. However long replicas drain, others start, turn
-/// cold or disappear; an entry ends after three missed heartbeats of about a second.
-const MAX_REPLICA_POLL_INTERVAL: Duration = Duration::from_millis(1_500);
-/// Shortest poll interval of the instances' records. A peer that has just joined may be the only
-/// path to the store.
-const INITIAL_INSTANCE_POLL_INTERVAL: Duration = Duration::from_millis(150);
-/// Longest poll interval of the instances' records. Each of many restarting instances changes these
-/// records; the tightest deadline that depends on them is the five seconds of a rollback.
-const MAX_INSTANCE_POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest outage during which entries of live owners may have expired in the store.
 const MIN_EXPIRY_OUTAGE: Duration = Duration::from_secs(1);
-/// Time for which the store holds a poll while there are no changes. Keep-alive probes detect a
-/// dead connection well before.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Prefix of the records that instances write for each other, except rollout evidence.
 pub const INSTANCE_PREFIX: &str = "yuccareel/";
 /// Prefix of the member entries.
 pub const MEMBER_PREFIX: &str = "yuccareel/member/";
 
-/// Records that a mirror follows, by who writes them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MirrorScope {
-    /// Configuration, rollout orders and evacuations of data centres.
-    Operators,
-    /// List of replicas.
-    Replicas,
-    /// Member entries, the holder of the rollout lease, and recorded rollout phases.
-    Instances,
-}
-
-impl MirrorScope {
-    /// Value of the `scope` label in metrics and of the log field.
-    fn label(self) -> &'static str {
-        match self {
-            Self::Operators => "operators",
-            Self::Replicas => "replicas",
-            Self::Instances => "own",
-        }
-    }
-
-    /// Poll interval of these records. `replica_drain` is the time for which a draining replica
-    /// still takes calls.
-    pub fn poll_interval(self, replica_drain: Duration) -> PollInterval {
-        match self {
-            Self::Operators => PollInterval::new(Duration::ZERO, Duration::ZERO),
-            Self::Replicas => {
-                let interval = replica_drain.mul_f64(REPLICA_DRAIN_FRACTION);
-                let interval = interval.clamp(MIN_REPLICA_POLL_INTERVAL, MAX_REPLICA_POLL_INTERVAL);
-                PollInterval::new(interval, interval)
-            }
-            Self::Instances => {
-                PollInterval::new(INITIAL_INSTANCE_POLL_INTERVAL, MAX_INSTANCE_POLL_INTERVAL)
-            }
-        }
-    }
-}
-
 /// Mirror of the records below one prefix.
 pub struct StoreMirror {
     node: Arc<RelayNode>,
     scope: MirrorScope,
     prefix: String,
-    mirrored_keys: BTreeSet<String>,
+    /// Whether the changes since the last revision are lost, so that the whole prefix must be read.
+    needs_full_read: bool,
     failing_since: Option<Instant>,
     last_answer_at: Instant,
     poll_interval: PollInterval,
+    has_readers: bool,
     retry_backoff: RetryBackoff,
+    reader_choice: ReaderChoice,
+    feed_client: FeedClient,
 }
 
 impl StoreMirror {
@@ -106,87 +60,210 @@
             MirrorScope::Instances => INSTANCE_PREFIX,
         };
         let prefix = prefix.to_owned();
-        let poll_interval = scope.poll_interval(node.settings.bounds.replica_drain_grace);
+        let poll_interval = scope.poll_interval(node.settings.bounds.replica_drain_grace, false);
+        let feed_client = FeedClient::new(node.settings.listen.feed.ip());
         Self {
             node,
             scope,
             prefix,
-            mirrored_keys: BTreeSet::new(),
+            needs_full_read: true,
             failing_since: None,
             last_answer_at: Instant::now(),
             poll_interval,
+            has_readers: false,
             retry_backoff: RetryBackoff::default(),
+            reader_choice: ReaderChoice::default(),
+            feed_client,
         }
     }
 
     /// Keeps the copies current until the process ends.
     pub async fn run(mut self) {
-        let mut revision = None;
         loop {
-            let outcome = match revision {
-                None => self.read_all().await,
-                Some(after) => self.poll_changes(after).await,
-            };
-            match outcome {
-                Ok(applied) => revision = Some(applied),
-                Err(error) => {
-                    self.record_failure(&error);
-                    // The changes since this revision are lost, so read the whole prefix.
-                    if matches!(error, KvError::Unreadable(_)) {
-                        revision = None;
-                    }
-                    tokio::time::sleep(self.retry_backoff.next_delay()).await;
+            if let Err(error) = self.update().await {
+                self.record_failure(&error);
+                if matches!(error, KvError::Unreadable(_)) {
+                    self.needs_full_read = true;
                 }
+                tokio::time::sleep(self.retry_backoff.next_delay()).await;
             }
         }
     }
 
-    async fn read_all(&mut self) -> Result<ids::KvRevision, KvError> {
+    /// Brings the copies up to date from the reader of the data centre, or else from the store.
+    async fn update(&mut self) -> Result<(), KvError> {
+        if self.needs_full_read {
+            self.read_all().await?;
+            self.needs_full_read = false;
+            return Ok(());
+        }
+        let has_readers = match self.source() {
+            RecordSource::Reader(name, address) => {
+                match self.take_from_reader(address).await {
+                    Ok(()) => return Ok(()),
+                    Err(error) => self.record_reader_failure(name, &error),
+                }
+                // Short polls, until another reader is asked.
+                true
+            }
+            RecordSource::Store { has_readers } => {
+                has_readers || self.node.feeds.has_readers(self.scope, Instant::now())
+            }
+        };
+        self.set_has_readers(has_readers);
+        self.poll_store().await
+    }
+
+    fn source(&self) -> RecordSource {
+        let settings = &self.node.settings;
+        let members = self.node.members.lock();
+        let (name, data_centre) = (&settings.name, &settings.data_centre);
+        self.reader_choice.source(members.iter(), name, data_centre, self.scope, Instant::now())
+    }
+
+    fn set_has_readers(&mut self, has_readers: bool) {
+        if self.has_readers != has_readers {
+            self.has_readers = has_readers;
+            let replica_drain = self.node.settings.bounds.replica_drain_grace;
+            self.poll_interval = self.scope.poll_interval(replica_drain, has_readers);
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<(), KvError> {
         let node = self.node.clone();
+        let asked_at = Instant::now();
         let range = node.store.range(&self.prefix).await?;
         self.record_success();
-        let present: BTreeSet<String> =
-            range.entries.iter().map(|entry| entry.key.clone()).collect();
-        for key in self.mirrored_keys.difference(&present).cloned().collect::<Vec<_>>() {
-            self.apply_removal(&key);
-        }
-        for entry in &range.entries {
-            self.apply_entry(entry);
+        if self.apply_snapshot(range.entries, range.revision) {
+            self.confirm(asked_at.elapsed());
         }
-        match self.scope {
-            MirrorScope::Replicas => node.set_replicas_loaded(),
-            MirrorScope::Instances => node.refresh_member_names(),
-            MirrorScope::Operators => {}
+        if self.scope == MirrorScope::Replicas {
+            node.set_replicas_loaded();
         }
-        Ok(range.revision)
+        Ok(())
     }
 
-    /// Waits for changes and applies them; returns the revision that the copies now have.
-    async fn poll_changes(&mut self, after: ids::KvRevision) -> Result<ids::KvRevision, KvError> {
+    /// Waits for changes in the store and applies them.
+    async fn poll_store(&mut self) -> Result<(), KvError> {
         let node = self.node.clone();
+        let after = node.feeds.log(self.scope).lock().revision();
+        let hold = self.scope.store_hold(&node.settings.bounds, self.has_readers);
         let polled_at = Instant::now();
-        let changes = node.store.changes(&self.prefix, after, LONG_POLL_TIMEOUT).await?;
+        let poll = node.store.changes(&self.prefix, after, hold);
+        let changes = tokio::select! {
+            biased;
+            changes = poll => changes?,
+            // The records of a long poll are too old for others; the next poll is a short one.
+            () = node.feeds.wait_for_reader(self.scope), if !self.has_readers => return Ok(()),
+        };
         let waited = polled_at.elapsed();
         self.record_success();
-        for change in &changes.events {
-            self.apply_change(change);
-        }
-        if self.scope == MirrorScope::Instances && !changes.events.is_empty() {
-            node.refresh_member_names();
+        // A poll without changes is answered at the end of the hold, any other at an unknown time.
+        let age = if changes.events.is_empty() { waited.saturating_sub(hold) } else { waited };
+        if self.apply_changes(after, changes.events, changes.revision) {
+            self.confirm(age);
         }
         tokio::time::sleep(self.poll_interval.next_pause(waited)).await;
-        Ok(changes.revision.max(after))
+        Ok(())
+    }
+
+    /// Waits for changes at a reader and applies them.
+    async fn take_from_reader(&mut self, reader: SocketAddr) -> Result<(), FeedError> {
+        let node = self.node.clone();
+        let bounds = &node.settings.bounds;
+        let after = node.feeds.log(self.scope).lock().revision();
+        let request = FeedRequest { scope: self.scope, after };
+        let answer_time = self.scope.reader_answer_time(bounds);
+        let timeout = self.scope.reader_hold(bounds) + answer_time;
+        let (batch, age) = self.feed_client.request(reader, request, answer_time, timeout).await?;
+        if batch.revision < after {
+            return Err(FeedError::Behind);
+        }
+        let max_age = self.scope.max_age(bounds);
+        let is_current = age <= max_age;
+        if is_current {
+            self.record_success();
+        }
+        if !self.apply_batch(batch) {
+            return Err(FeedError::Behind);
+        }
+        self.confirm(age);
+        if is_current { Ok(()) } else { Err(FeedError::Stale(age)) }
     }
 
-    fn apply_change(&mut self, change: &KvEvent) {
-        match change {
-            KvEvent::Put(entry) => self.apply_entry(entry),
-            KvEvent::Delete(key, _) => self.apply_removal(key),
+    /// Applies a batch; returns `false` if it does not fit the copies.
+    fn apply_batch(&mut self, batch: FeedBatch) -> bool {
+        // Before the changes: entries that expired in the outage get a grace period.
+        if let Some(since) = batch.since_store_return {
+            let now = Instant::now();
+            self.record_store_return(now.checked_sub(since).unwrap_or(now));
+        }
+        match batch.content {
+            BatchContent::Changes(events) => {
+                self.apply_changes(batch.after, events, batch.revision)
+            }
+            BatchContent::Snapshot(events) => {
+                let entries = events.into_iter().filter_map(|event| match event {
+                    KvEvent::Put(entry) => Some(entry),
+                    KvEvent::Delete(..) => None,
+                });
+                self.apply_snapshot(entries.collect(), batch.revision)
+            }
+        }
+    }
+
+    /// Replaces the copies; returns `false` if they are newer.
+    fn apply_snapshot(&mut self, entries: Vec<KvEntry>, revision: ids::KvRevision) -> bool {
+        let node = self.node.clone();
+        let gone = node.feeds.log(self.scope).lock().apply_all(entries.iter().cloned(), revision);
+        let Some(gone) = gone else { return false };
+        for key in &gone {
+            self.apply_removal(key);
+        }
+        for entry in &entries {
+            self.apply_entry(entry);
+        }
+        self.finish_changes();
+        true
+    }
+
+    /// Applies changes to the copies; returns `false` if earlier ones are missing.
+    fn apply_changes(
+        &mut self,
+        after: ids::KvRevision,
+        events: Vec<KvEvent>,
+        revision: ids::KvRevision,
+    ) -> bool {
+        let node = self.node.clone();
+        let newer = node.feeds.log(self.scope).lock().apply_changes(after, events, revision);
+        let Some(newer) = newer else { return false };
+        if newer.is_empty() {
+            return true;
+        }
+        for change in &newer {
+            match change {
+                KvEvent::Put(entry) => self.apply_entry(entry),
+                KvEvent::Delete(key, _) => self.apply_removal(key),
+            }
         }
+        self.finish_changes();
+        true
     }
 
-    fn apply_entry(&mut self, entry: &KvEntry) {
-        self.mirrored_keys.insert(entry.key.clone());
+    fn finish_changes(&self) {
+        if self.scope == MirrorScope::Instances {
+            self.node.refresh_member_names();
+        }
+        self.node.feeds.notify(self.scope);
+    }
+
+    /// Records that the copies were current in the store `age` ago.
+    fn confirm(&self, age: Duration) {
+        let mut log = self.node.feeds.log(self.scope).lock();
+        log.confirm(age, Instant::now(), SystemTime::now());
+    }
+
+    fn apply_entry(&self, entry: &KvEntry) {
         if self.scope == MirrorScope::Instances {
             apply_instance_record(&self.node, entry);
             return;
@@ -202,8 +279,7 @@
         }
     }
 
-    fn apply_removal(&mut self, key: &str) {
-        self.mirrored_keys.remove(key);
+    fn apply_removal(&self, key: &str) {
         if self.scope == MirrorScope::Instances {
             remove_instance_record(&self.node, key);
             return;
@@ -243,13 +319,40 @@
         if outage < MIN_EXPIRY_OUTAGE {
             return;
         }
+        self.record_store_return(now);
+    }
+
+    /// Starts the grace period of expired entries after the return of the store at `returned_at`,
+    /// unless a later return is known.
+    fn record_store_return(&self, returned_at: Instant) {
+        {
+            let mut log = self.node.feeds.log(self.scope).lock();
+            if log.store_returned_at().is_some_and(|known| returned_at <= known) {
+                return;
+            }
+            log.record_store_return(returned_at);
+        }
         match self.scope {
-            MirrorScope::Replicas => self.node.fleet.lock().record_store_return(now),
-            MirrorScope::Instances => self.node.members.lock().record_store_return(now),
+            MirrorScope::Replicas => self.node.fleet.lock().record_store_return(returned_at),
+            MirrorScope::Instances => self.node.members.lock().record_store_return(returned_at),
             MirrorScope::Operators => {}
         }
     }
 
+    fn record_reader_failure(&mut self, reader: ids::InstanceName, error: &FeedError) {
+        metrics::counter!("yuccareel_feed_failures_total", "scope" => self.scope.label())
+            .increment(1);
+        let fields = slog::o!(
+            "scope" => self.scope.label(), "reader" => reader.to_string(),
+            "error" => error.to_string(),
+        );
+        self.node.emit(LogEvent::ReaderFailed, fields);
+        // A batch that is too large says nothing about the next one.
+        if !matches!(error, FeedError::TooLarge) {
+            self.reader_choice.record_failure(reader, Instant::now());
+        }
+    }
+
     fn record_failure(&mut self, error: &KvError) {
         metrics::counter!("yuccareel_store_failures_total", "scope" => self.scope.label())
             .increment(1);
--- a/tests/member_list.rs
+++ b/tests/member_list.rs
@@ -12,6 +12,8 @@
         tunnel: SocketAddr::from(([10, 0, 0, index], 81)),
         data_centre: data_centre.into(),
         region: if data_centre == "far" { "east".into() } else { "west".into() },
+        feed: None,
+        link_mbps: 0,
     }
 }
 
--- a/tests/store_load.rs
+++ b/tests/store_load.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use yuccareel::relay::mirror_scope::MirrorScope;
 use yuccareel::relay::retry_backoff::RetryBackoff;
 use yuccareel::relay::rollout_controller;
-use yuccareel::relay::store_mirror::MirrorScope;
 
 /// Writes a second that the store serves today, of which reports may take a half.
 const STORE_WRITES_PER_S: f64 = 400.0;
@@ -100,7 +100,7 @@
         },
     ];
     for PaceCase { name, scope, replica_drain, waits, pauses_ms } in cases {
-        let mut poll_interval = scope.poll_interval(replica_drain);
+        let mut poll_interval = scope.poll_interval(replica_drain, false);
         for (wait, bounds) in waits.iter().zip(pauses_ms) {
             let pause = poll_interval.next_pause(Duration::from_millis(*wait)).as_millis();
             assert!(bounds.contains(&pause), "{name}: {pause} ms after a wait of {wait} ms");
