End stalled streams and bytes without end

Change: the time counts from the last complete event, an event has at most 256 KB, a body at most 32 trailer fields.

--- a/src/http1/body_decoder.rs
+++ b/src/http1/body_decoder.rs
@@ -7,6 +7,9 @@
 /// Limit for a line with a chunk size or a trailer field.
 const MAX_LINE_BYTES: usize = 1_024;
 
+/// Limit on the trailer fields of a body.
+const MAX_TRAILER_FIELDS: u32 = 32;
+
 /// How the end of a body is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
@@ -35,7 +38,8 @@
     ChunkSize,
     ChunkData(u64),
     ChunkEnd,
-    Trailer,
+    /// Trailer fields that may still follow.
+    Trailer(u32),
     UntilClose,
     Complete,
 }
@@ -95,14 +99,17 @@
                 DecodeState::ChunkSize => match take_line(buffer)? {
                     None => return Ok(DecodeStep::NeedMore),
                     Some(line) => match parse_chunk_size(&line)? {
-                        0 => self.state = DecodeState::Trailer,
+                        0 => self.state = DecodeState::Trailer(MAX_TRAILER_FIELDS),
                         size => self.state = DecodeState::ChunkData(size),
                     },
                 },
-                DecodeState::Trailer => match take_line(buffer)? {
+                DecodeState::Trailer(remaining) => match take_line(buffer)? {
                     None => return Ok(DecodeStep::NeedMore),
                     Some(line) if line.is_empty() => self.state = DecodeState::Complete,
-                    Some(_) => {}
+                    Some(_) if remaining == 0 => {
+                        return Err(MessageError::Malformed("body has too many trailer fields"));
+                    }
+                    Some(_) => self.state = DecodeState::Trailer(remaining - 1),
                 },
             }
         }
--- a/src/relay/event_splitter.rs
+++ b/src/relay/event_splitter.rs
@@ -28,6 +28,11 @@
         self.buffer.extend_from_slice(data);
     }
 
+    /// Number of bytes that belong to no complete event yet.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Removes the next complete event; `None` if more data is needed.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         let end = self.event_end()?;
--- a/src/relay/stream_flow.rs
+++ b/src/relay/stream_flow.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use super::attempt_budget::RepeatCause;
 use super::call_flow::InFlightGuard;
 use super::call_job::{CallJob, CallProgress};
@@ -21,6 +23,8 @@
 /// Multiple of the route's max event gap after which a silent stream is resumed at another replica,
 /// if the call may run again.
 const SILENCE_FACTOR: f64 = 1.5;
+/// Limit on one event. Events hold a few tokens; bytes without end must not fill the memory.
+const MAX_EVENT_BYTES: usize = 256 * 1_024;
 
 /// How the stream of one attempt ended.
 #[derive(Debug)]
@@ -48,10 +52,13 @@
         let mut decoder = BodyDecoder::new(head.framing);
         let mut splitter = EventSplitter::default();
         let mut silence_timeout = self.silence_timeout(job, progress);
+        let mut last_event_at = Instant::now();
         loop {
             let reading = connection.read_body_data(&mut decoder);
+            // Bytes that complete no event do not extend the time, as a stalled replica may send
+            // some now and then.
             let data = match silence_timeout {
-                Some(timeout) => tokio::time::timeout(timeout, reading)
+                Some(timeout) => tokio::time::timeout_at(last_event_at + timeout, reading)
                     .await
                     .unwrap_or(Err(MessageError::TimedOut)),
                 None => reading.await,
@@ -70,11 +77,15 @@
                 }
             }
             guard.record_first_byte();
-            let name = &guard.choice().entry.name;
-            self.fleet.lock().record_activity(name, tokio::time::Instant::now());
             while let Some(event) = splitter.next_event() {
+                last_event_at = Instant::now();
+                let name = &guard.choice().entry.name;
+                self.fleet.lock().record_activity(name, last_event_at);
                 write_event(progress, head, &event, writer).await?;
             }
+            if splitter.buffered_bytes() > MAX_EVENT_BYTES {
+                return Ok(StreamEnd::Truncated(MessageError::Malformed("event is too large")));
+            }
         }
         let remainder = splitter.take_remainder();
         if !remainder.is_empty() && decoder.is_close_delimited() {
--- a/tests/event_splitter.rs
+++ b/tests/event_splitter.rs
@@ -26,3 +26,17 @@
         assert_eq!(text, STREAM.as_bytes(), "cut at {cut}");
     }
 }
+
+/// Guards against a count of pending bytes that misses those of an event without end.
+#[test]
+fn bytes_of_an_incomplete_event_are_counted() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\ndata: a\n\n");
+    assert!(splitter.next_event().is_some());
+    assert_eq!(splitter.buffered_bytes(), 0);
+    for _ in 0..100 {
+        splitter.push(&[b'd'; 1_000]);
+        assert!(splitter.next_event().is_none());
+    }
+    assert_eq!(splitter.buffered_bytes(), 100_000);
+}
--- a/tests/http_messages.rs
+++ b/tests/http_messages.rs
@@ -248,3 +248,20 @@
     let body = reader.read_body(BodyFraming::Length(5), 4).await;
     assert!(matches!(body, Err(MessageError::BodyTooLarge)));
 }
+
+/// Guards against a decoder that reads trailer fields without end.
+#[test]
+fn trailer_fields_without_end_are_malformed() {
+    let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+    let mut buffer = BytesMut::from(&b"0\r\n"[..]);
+    let mut outcome = decoder.decode(&mut buffer);
+    for _ in 0..100 {
+        buffer.extend_from_slice(b"X-More: 1\r\n");
+        outcome = decoder.decode(&mut buffer);
+        if outcome.is_err() {
+            break;
+        }
+        assert_eq!(outcome.as_ref().unwrap(), &DecodeStep::NeedMore);
+    }
+    assert!(outcome.is_err(), "{outcome:?}");
+}
