Start the first time through readers, and weigh waiting requests by average prompts

Calls of the largest model that were placed behind one waiting request came 1.1 s later (log of one data centre, 1,577 calls), the prefill of 20,000 tokens, not of the 3,000 assumed. Change: on the first start of all, instances register before they read, marked as not ready, and all but the readers take the records from a reader. A write that does not state readiness is conditional, as the store may apply it late (the test of delayed member entries failed without). A waiting request costs the moving average of what this instance's calls cost; the mean load of a group contains an idle replica of weight 0.25, as one report spoke for all others. Tests: the new case fails with the constant cost.

--- a/src/relay/load_prior.rs
+++ b/src/relay/load_prior.rs
@@ -11,6 +11,10 @@
 /// Time for which a reported load is used. Its weight falls linearly from 1 to 0 over this time.
 pub const LOAD_TTL: Duration = Duration::from_secs(2);
 
+/// Weight of an assumed report of an idle replica in the mean, so that a single busy replica does not
+/// make all others look as busy.
+const IDLE_WEIGHT: f64 = 0.25;
+
 /// Load of a replica in requests, estimated from reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadEstimate {
@@ -58,13 +62,9 @@
 
     /// Load of a replica whose report has `weight`: its own part and the mean of the group.
     pub fn blend(&self, estimate: LoadEstimate, weight: f64) -> LoadEstimate {
-        if self.weight == 0.0 {
-            return LoadEstimate {
-                requests: estimate.requests * weight,
-                waiting: estimate.waiting * weight,
-            };
-        }
-        let mix = |own: f64, total: f64| own * weight + total / self.weight * (1.0 - weight);
+        let mix = |own: f64, total: f64| {
+            own * weight + total / (self.weight + IDLE_WEIGHT) * (1.0 - weight)
+        };
         LoadEstimate {
             requests: mix(estimate.requests, self.total.requests),
             waiting: mix(estimate.waiting, self.total.waiting),
--- a/src/relay/member_list.rs
+++ b/src/relay/member_list.rs
@@ -31,6 +31,15 @@
     /// Speed of the instance's link in Mbit/s.
     #[serde(default)]
     pub link_mbps: u32,
+    /// Whether the instance takes calls. On their first start instances register before that, so
+    /// that they find a reader.
+    #[serde(default = "always_ready")]
+    pub is_ready: bool,
+}
+
+/// Instances of older versions register only once they are ready.
+fn always_ready() -> bool {
+    true
 }
 
 #[derive(Debug)]
@@ -67,9 +76,10 @@
         self.rows.insert(name, MemberRow { entry, lease })
     }
 
-    /// Whether the member's entry exists in the store under `lease`.
-    pub fn is_current(&self, name: &str, lease: ids::LeaseId) -> bool {
-        self.rows.is_current(name) && self.rows.get(name).is_some_and(|row| row.lease == lease)
+    /// Whether the member's entry exists in the store under `lease` and states this readiness.
+    pub fn is_current(&self, name: &str, lease: ids::LeaseId, is_ready: bool) -> bool {
+        let states_both = |row: &MemberRow| row.lease == lease && row.entry.is_ready == is_ready;
+        self.rows.is_current(name) && self.rows.get(name).is_some_and(states_both)
     }
 
     /// Records that the entry of a member is gone from the store. Returns whether the member was
@@ -136,7 +146,7 @@
     }
 
     fn addresses_where(&self, is_match: impl Fn(&MemberEntry) -> bool) -> Vec<SocketAddr> {
-        let entries = self.rows.values().map(|row| &row.entry);
+        let entries = self.rows.values().map(|row| &row.entry).filter(|entry| entry.is_ready);
         entries.filter(|entry| is_match(entry)).map(|entry| entry.calls).collect()
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -37,6 +37,7 @@
 pub mod member_registry;
 pub mod mirror_scope;
 pub mod poll_interval;
+pub mod prefill_average;
 pub mod relay_config;
 pub mod relay_node;
 pub mod relay_service;
--- a/src/relay/relay_settings.rs
+++ b/src/relay/relay_settings.rs
@@ -59,6 +59,8 @@
     pub seed_tunnels: Vec<SocketAddr>,
     pub store: SocketAddr,
     pub bounds: FleetBounds,
+    /// Whether all instances start for the first time, before any caller.
+    pub is_first_start: bool,
     /// Speed of the machine's link in Mbit/s.
     pub link_mbps: u32,
     /// Memory limit of the process.
--- a/src/relay/replica_fleet.rs
+++ b/src/relay/replica_fleet.rs
@@ -14,6 +14,7 @@
 
 use super::call_codec::ReplicaLoad;
 use super::expiring_table::ExpiringTable;
+use super::prefill_average::PrefillAverage;
 use super::replica_choice::{ChoiceContext, ChoiceRefusal, ChoiceRequest, ReplicaChoice};
 use super::replica_entry::{EntryState, ReplicaEntry};
 use super::replica_health::HealthOutcome;
@@ -54,11 +55,16 @@
 pub struct ReplicaFleet {
     rows: ExpiringTable<ReplicaRow>,
     evacuated_data_centres: HashSet<ids::DataCentreName>,
+    prefill_average: PrefillAverage,
 }
 
 impl Default for ReplicaFleet {
     fn default() -> Self {
-        Self { rows: ExpiringTable::new(EXPIRY_GRACE), evacuated_data_centres: HashSet::new() }
+        Self {
+            rows: ExpiringTable::new(EXPIRY_GRACE),
+            evacuated_data_centres: HashSet::new(),
+            prefill_average: PrefillAverage::default(),
+        }
     }
 }
 
@@ -148,6 +154,8 @@
         let (waiting_requests, load_age) =
             (row.waiting_requests(context.now), row.load_age(context.now));
         row.record_send(prefill_cost, &prefixes, is_cold, context.now);
+        let is_small_model = request.is_small_model();
+        self.prefill_average.record(request.service, is_small_model, prefill_cost);
         Ok(ReplicaChoice {
             entry: row.entry.clone(),
             uncached_tokens,
@@ -186,8 +194,7 @@
             return SmallVec::new();
         }
         let candidates = self.candidates(request, context);
-        let best =
-            replica_score::best_warm_replicas(&candidates, request, context, MAX_PROBED_REPLICAS);
+        let best = self.best_warm_replicas(&candidates, request, context, MAX_PROBED_REPLICAS);
         // A single replica needs no comparison.
         let best = best.ok().filter(|best| best.len() > 1).unwrap_or_default();
         let stale = best.iter().filter(|row| !row.has_fresh_load(context.now));
@@ -206,6 +213,18 @@
         if current.is_empty() { self.rows.values().filter(may_run).collect() } else { current }
     }
 
+    fn best_warm_replicas<'a>(
+        &self,
+        candidates: &[&'a ReplicaRow],
+        request: &ChoiceRequest<'_>,
+        context: &ChoiceContext<'_>,
+        max_count: usize,
+    ) -> Result<SmallVec<[&'a ReplicaRow; 4]>, ChoiceRefusal> {
+        let (is_small_model, weight) = (request.is_small_model(), request.model_weight);
+        let cost = self.prefill_average.get(request.service, is_small_model, weight);
+        replica_score::best_warm_replicas(candidates, request, context, cost, max_count)
+    }
+
     /// Picks a replica without counting a call; returns it with the number of candidates. Cold
     /// replicas are used only if no warm one can take the call.
     fn pick_replica(
@@ -217,7 +236,7 @@
         if candidates.is_empty() {
             return Err(ChoiceRefusal::NoReplica);
         }
-        let is_full = match replica_score::best_warm_replicas(&candidates, request, context, 1) {
+        let is_full = match self.best_warm_replicas(&candidates, request, context, 1) {
             Ok(best) => return Ok((best[0].entry.name.clone(), candidates.len())),
             Err(refusal) => refusal == ChoiceRefusal::Full,
         };
--- a/src/relay/replica_score.rs
+++ b/src/relay/replica_score.rs
@@ -16,9 +16,6 @@
 /// Cost of one running request, in prompt tokens of the largest model. Each running request
 /// lengthens the engine steps of all others on the replica.
 const RUNNING_REQUEST_COST_TOKENS: f64 = 60.0;
-/// Cost of one request that waits for its first token, in prompt tokens of the called model. The
-/// waiting requests are assumed to call a model of the same size, as most replicas serve one kind.
-const WAITING_REQUEST_COST_TOKENS: f64 = 3_000.0;
 /// Cost of a call to another data centre, in prompt tokens of the largest model.
 const REMOTE_COST_TOKENS: f64 = 60.0;
 /// Cost of each uncached prompt token in addition to its prefill, in prompt tokens of the largest
@@ -61,6 +58,8 @@
     /// Replica to which all instances send prompts with the same prefix, by rendezvous hashing.
     preferred: Option<&'a ids::ReplicaName>,
     min_reserved_rank: Option<u64>,
+    /// Cost of one request that waits for its first token, in prompt tokens of the largest model.
+    waiting_request_cost: f64,
     /// Mean loads of the group for the called model and of the other replicas.
     group_prior: LoadPrior,
     outside_prior: LoadPrior,
@@ -71,6 +70,7 @@
         warm: &[&'a ReplicaRow],
         request: &'a ChoiceRequest<'a>,
         context: &'a ChoiceContext<'a>,
+        waiting_request_cost: f64,
     ) -> Self {
         let prefixes = request.prefix_keys();
         let mut scorer = Self {
@@ -79,6 +79,7 @@
             prefixes,
             preferred: None,
             min_reserved_rank: min_reserved_rank(warm),
+            waiting_request_cost,
             group_prior: LoadPrior::default(),
             outside_prior: LoadPrior::default(),
         };
@@ -149,7 +150,7 @@
         // The score uses the maximum of both, not the sum, because calls of this instance without a
         // first byte are among the waiting requests.
         let load = row.estimated_load(self.prior(row), now);
-        let waiting_cost = load.waiting * WAITING_REQUEST_COST_TOKENS * request.model_weight;
+        let waiting_cost = load.waiting * self.waiting_request_cost;
         uncached_tokens * (request.model_weight + EVICTION_COST_PER_TOKEN)
             + row.pending_prefill_cost.max(waiting_cost)
             + load.requests * RUNNING_REQUEST_COST_TOKENS
@@ -163,7 +164,8 @@
 }
 
 /// Returns up to `max_count` replicas that are not cold, those with the lowest cost first. Avoided
-/// replicas are used only if there are no others.
+/// replicas are used only if there are no others. `waiting_request_cost` is the cost of a request that
+/// waits at a replica, in prompt tokens of the largest model.
 ///
 /// # Errors
 /// [`ChoiceRefusal::NoReplica`] if all candidates are cold, [`ChoiceRefusal::Full`] if none of the
@@ -172,6 +174,7 @@
     candidates: &[&'a ReplicaRow],
     request: &ChoiceRequest<'_>,
     context: &ChoiceContext<'_>,
+    waiting_request_cost: f64,
     max_count: usize,
 ) -> Result<SmallVec<[&'a ReplicaRow; 4]>, ChoiceRefusal> {
     let now = context.now;
@@ -180,7 +183,7 @@
     if warm.is_empty() {
         return Err(ChoiceRefusal::NoReplica);
     }
-    let scorer = ReplicaScorer::new(&warm, request, context);
+    let scorer = ReplicaScorer::new(&warm, request, context, waiting_request_cost);
     let with_free_slot =
         || warm.iter().filter(|row| row.estimated_requests(now) < row.entry.slots.max(1));
     let mut best: SmallVec<[(f64, &'a ReplicaRow); 4]> = SmallVec::new();
--- a/src/relay/store_mirror.rs
+++ b/src/relay/store_mirror.rs
@@ -33,6 +33,10 @@
 /// Pause between the first read and the first poll. When all instances start at once, the member
 /// list is complete after it, and few of them need to poll the store.
 const SETTLING_TIME: Duration = Duration::from_millis(400);
+/// Time for which all instances register on their first start, before the member list is read.
+const REGISTRATION_TIME: Duration = Duration::from_millis(600);
+/// Time on the first start after which the member list has been read.
+const MEMBERSHIP_TIME: Duration = Duration::from_millis(900);
 /// Prefix of the records that instances write for each other, except rollout evidence.
 pub const INSTANCE_PREFIX: &str = "yuccareel/";
 /// Prefix of the member entries.
@@ -84,6 +88,9 @@
 
     /// Keeps the copies current until the process ends.
     pub async fn run(mut self) {
+        if self.node.settings.is_first_start {
+            self.start_together().await;
+        }
         loop {
             if let Err(error) = self.update().await {
                 self.record_failure(&error);
@@ -95,6 +102,28 @@
         }
     }
 
+    /// First read on the first start of all instances, when no caller waits: once the instances have
+    /// registered, all but the readers take the records from a reader. If that fails, they are read
+    /// from the store later.
+    async fn start_together(&mut self) {
+        let is_instances = self.scope == MirrorScope::Instances;
+        tokio::time::sleep(if is_instances { REGISTRATION_TIME } else { MEMBERSHIP_TIME }).await;
+        if is_instances {
+            return;
+        }
+        if let RecordSource::Reader(name, address) = self.source() {
+            match self.take_from_reader(address).await {
+                Ok(()) => {
+                    self.needs_full_read = false;
+                    if self.scope == MirrorScope::Replicas {
+                        self.node.set_replicas_loaded();
+                    }
+                }
+                Err(error) => self.record_reader_failure(name, &error),
+            }
+        }
+    }
+
     /// Brings the copies up to date from the reader of the data centre, or else from the store.
     async fn update(&mut self) -> Result<(), KvError> {
         if self.needs_full_read {
--- a/tests/feed_world/mod.rs
+++ b/tests/feed_world/mod.rs
@@ -92,6 +92,7 @@
                 region: "west".into(),
                 feed: Some(address),
                 link_mbps: 10,
+                is_ready: true,
             };
             (format!("m{index}").as_str().into(), entry)
         };
--- a/tests/member_list.rs
+++ b/tests/member_list.rs
@@ -14,6 +14,7 @@
         region: if data_centre == "far" { "east".into() } else { "west".into() },
         feed: None,
         link_mbps: 0,
+        is_ready: true,
     }
 }
 
--- a/tests/replica_choice.rs
+++ b/tests/replica_choice.rs
@@ -161,3 +161,43 @@
     harness.fleet.record_load(&preferred, ReplicaLoad { running: 10, waiting: 6 }, harness.now);
     assert_ne!(harness.choose_call(&call).as_ref(), Ok(&preferred));
 }
+
+/// Guards against long prompts that wait behind other long prompts, while replicas without them are
+/// idle. Load pattern: a large model whose calls have long prompts; what a replica reports as waiting
+/// are calls like them.
+#[test]
+fn waiting_requests_cost_what_calls_cost_on_average() {
+    struct AverageCase {
+        name: &'static str,
+        /// Prompt tokens of the earlier calls of the instance.
+        earlier_tokens: u32,
+        leaves_preferred: bool,
+    }
+    let cases = [
+        AverageCase { name: "long prompts", earlier_tokens: 12_000, leaves_preferred: true },
+        AverageCase { name: "short prompts", earlier_tokens: 700, leaves_preferred: false },
+    ];
+    let part = |id, tokens| vec![PromptPart { id, tokens }];
+    let call = CallRequirements { shared_parts: part(7, 10_000), ..long_call() };
+    let entries: Vec<_> =
+        (0..6).map(|index| ReplicaEntry { slots: 100, ..entry(&format!("r{index}")) }).collect();
+    let preferred = FleetHarness::new(&entries).choose_call(&call).unwrap();
+    for AverageCase { name, earlier_tokens, leaves_preferred } in cases {
+        let mut harness = FleetHarness::new(&entries);
+        for id in 100..160 {
+            let shared_parts = part(id, earlier_tokens / 2);
+            let earlier =
+                CallRequirements { shared_parts, prompt_tokens: earlier_tokens, ..long_call() };
+            let replica = harness.choose_call(&earlier).unwrap();
+            harness.fleet.record_first_byte(&replica, f64::from(u32::MAX));
+            harness.fleet.record_finish(&replica);
+        }
+        for entry in &entries {
+            let waiting = u32::from(*entry.name == *preferred);
+            let load = ReplicaLoad { running: 1, waiting };
+            harness.fleet.record_load(&entry.name, load, harness.now);
+        }
+        let chosen = harness.choose_call(&call).unwrap();
+        assert_eq!(chosen != preferred, leaves_preferred, "{name}");
+    }
+}
--- a/tests/shared_feed.rs
+++ b/tests/shared_feed.rs
@@ -119,6 +119,7 @@
                     data_centre: if is_local { "a" } else { "b" }.into(),
                     region: "west".into(),
                     feed: Some(address),
+                    is_ready: true,
                     link_mbps: case.links_mbps.get(index).copied().unwrap_or(1_000),
                 };
                 (format!("m{index}").as_str().into(), entry)
