State why a connection for shared records was rejected

Cause: the field listed of event 406 held whether there was room for the connection, so a peer that is no member was logged as listed. Change: the field error names the reason, as for malformed messages; the module page lists the new decision modules. Measured: hostile_peers_do_no_harm passes; no other behaviour changes.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,7 +5,8 @@
 //! platform's store and can be read again, so an instance keeps no state of its own on disk.
 //!
 //! Decisions are made in modules without I/O: `attempt_budget`, `cold_budget`, `cascade_plan`,
-//! `replica_score`, `poll_interval`, `retry_backoff`, `rollout_plan` and `event_splitter`. The
+//! `replica_score`, `load_prior`, `prefill_average`, `mirror_scope`, `poll_interval`,
+//! `retry_backoff`, `rollout_plan`, `event_splitter` and most of `shared_feed`. The
 //! modules that do I/O call them: `caller_server`, `discovery_server`, `call_flow`, `load_probe`,
 //! `store_mirror`, `member_registry` and `rollout_controller`. An adapter implements the traits in
 //! `call_codec` and `store_codec`. No other module contains names that a platform uses on the wire.
--- a/src/relay/shared_feed/feed_server.rs
+++ b/src/relay/shared_feed/feed_server.rs
@@ -57,9 +57,15 @@
 pub async fn run(node: Arc<RelayNode>, listener: TcpListener) {
     let open_connections = Arc::new(AtomicUsize::new(0));
     let on_accept = |stream, peer: SocketAddr| {
-        let has_room = open_connections.load(Ordering::Relaxed) < MAX_CONNECTIONS;
-        if !has_room || !node.members.lock().has_address(peer.ip()) {
-            let fields = slog::o!("peer" => peer.to_string(), "listed" => has_room);
+        let rejection = if open_connections.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
+            Some("all connections are in use")
+        } else if !node.members.lock().has_address(peer.ip()) {
+            Some("peer is not in the member list")
+        } else {
+            None
+        };
+        if let Some(error) = rejection {
+            let fields = slog::o!("peer" => peer.to_string(), "error" => error);
             node.emit(LogEvent::FeedRejected, fields);
             return;
         }
