Log prompt parts of cut attempts and replicas that crashed

The log of the deadly prompt part could not tell three hypotheses apart: it named neither the parts of a prompt nor whether an attempt had sent events, and a crash looked like any reset connection.

attempt_retried gets both fields. After an attempt is cut before its third event, one connection shows whether the replica still listens; if not, replica_crashed (513) is logged. Routing is unchanged.

--- a/src/relay/attempt_flow.rs
+++ b/src/relay/attempt_flow.rs
@@ -32,7 +32,7 @@
 /// another replica cannot run the call twice.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Idle time after which a replica is assumed to close a connection if it states no limit.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+pub(super) const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Limit on the body of an answer that is not a stream.
 const MAX_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
 /// Answers to other calls that are skipped on a connection before the attempt fails.
@@ -87,6 +87,7 @@
         };
         progress.sent_attempts += 1;
         progress.possible_runs += 1;
+        progress.attempt_events = 0;
         let sent_at = Instant::now();
         let sending = self.send(job, progress, &entry, &mut connection);
         let abandonment = self.wait_for_abandonment(job, progress, &entry);
--- a/src/relay/call_flow.rs
+++ b/src/relay/call_flow.rs
@@ -184,7 +184,9 @@
                 self.check_retry(job, progress)?;
             }
             progress.last_choice = Some(guard.choice().clone());
-            match self.run_attempt(job, progress, guard, writer).await? {
+            let end = self.run_attempt(job, progress, guard, writer).await?;
+            self.check_crash(job, progress, &end).await;
+            match end {
                 // The caller has received the start of a stream, so this answer cannot follow.
                 AttemptEnd::Complete(..) if writer.progress() != AnswerProgress::NotStarted => {
                     if !self.may_run_again(job, progress) {
--- a/src/relay/call_job.rs
+++ b/src/relay/call_job.rs
@@ -90,6 +90,10 @@
     pub last_event_id: Option<u64>,
     /// Number of events written to the caller.
     pub written_events: u64,
+    /// Number of events that the replica of the last attempt has sent.
+    pub attempt_events: u64,
+    /// Replicas that crashed in attempts without a sound start of an answer.
+    pub crashed_replicas: u32,
     /// Whether an event without an id was written, after which no replica can resume the stream.
     pub has_events_without_id: bool,
     /// Replica of the last attempt and the figures behind its choice.
--- a/src/relay/call_log.rs
+++ b/src/relay/call_log.rs
@@ -69,6 +69,7 @@
             "request" => job.call.id_text(), "reason" => reason.code(),
             choice_fields(progress),
             "sends" => progress.sent_attempts, "last_event" => progress.last_event_id,
+            "attempt_events" => progress.attempt_events, "parts" => parts_text(job),
             "after_ms" => job.received.elapsed().as_millis() as u64,
         );
         self.emit(LogEvent::AttemptRetried, fields);
@@ -85,6 +86,13 @@
     }
 }
 
+/// Shared parts of the prompt as hexadecimal identifiers; `None` without any.
+pub(super) fn parts_text(job: &CallJob) -> Option<String> {
+    let parts: Vec<_> =
+        job.call.shared_parts().iter().map(|part| format!("{:x}", part.id)).collect();
+    (!parts.is_empty()).then(|| parts.join(","))
+}
+
 /// Fields on the replica of the last attempt and the figures behind its choice.
 fn choice_fields(progress: &CallProgress) -> impl slog::SendSyncRefUnwindSafeKV {
     let choice = progress.last_choice.as_ref();
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -28,6 +28,7 @@
 pub mod change_feed;
 pub mod cold_budget;
 pub mod connection_pool;
+mod crash_flow;
 pub mod discovery_server;
 pub mod event_splitter;
 pub mod expiring_table;
--- a/src/relay/stream_flow.rs
+++ b/src/relay/stream_flow.rs
@@ -112,6 +112,7 @@
     event: &StreamEvent,
     writer: &mut CallerWriter,
 ) -> io::Result<()> {
+    progress.attempt_events += 1;
     // A replica that resumes a stream may repeat events that the caller already received.
     let is_repeated = event.id.zip(progress.last_event_id).is_some_and(|(id, last)| id <= last);
     if is_repeated {
