Quarantine parts of prompts under which replicas crash

Callers saw up to a quarter of all requests fail while one request in twenty of a kind held a part under which each replica crashes when it begins to answer.

Cause: an attempt that ended with its replica was an attempt like any other. It was repeated elsewhere up to the route's limit, and nothing that was learned from it reached the next request or another instance. The class of fault is the request that kills its server, with retries that spread it.

A cut attempt whose replica refuses a connection is now evidence against the parts of its prompt that are not known to be sound. Parts that only stand beside the deadly one are told apart by the crashes that it accounts for and by single trials.

--- a/src/event_catalogue.rs
+++ b/src/event_catalogue.rs
@@ -76,6 +76,9 @@
     ReplicaForeign = 511 Warning "replica_foreign" "another server answers at the replica's address; replica is excluded until the list is read again";
     ReplicaAvoided = 512 Warning "replica_avoided" "replica is failing or unresponsive; requests go to other replicas";
     ReplicaCrashed = 513 Warning "replica_crashed" "replica closed a connection before the answer had begun and now refuses connections";
+    PartQuarantined = 520 Error "part_quarantined" "replicas crash under a part of prompts; requests with it are refused";
+    PartReleased = 521 Info "part_released" "requests with a quarantined part of prompts are sent again";
+    PartTried = 522 Info "part_tried" "request sent as the trial of a quarantined part of its prompt";
     SessionRepinned = 550 Info "session_repinned" "session moved from a withdrawn version to another one";
     RatingFailed = 560 Warning "rating_failed" "request to the rating service failed; planning by learned pass rates";
     HolderTaken = 601 Info "holder_taken" "this node acquired the rollout lease";
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -40,6 +40,8 @@
 pub type FencingToken = i64;
 /// Identifier of one start of a replica's engine process.
 pub type BootId = Arc<str>;
+/// Identifier of a part of a prompt; equal texts have equal identifiers.
+pub type PromptPartId = u64;
 /// Amount of money in microcredits.
 pub type Microcredits = u64;
 /// Shard of the claim space.
--- a/src/refusal_reason.rs
+++ b/src/refusal_reason.rs
@@ -33,6 +33,8 @@
     ColdStart,
     /// The queue is full, or the deadline cannot be met.
     Overloaded,
+    /// Replicas crash under a part of the prompt.
+    PromptQuarantined,
     /// The customer exceeds its rate limit.
     RateLimited,
     /// The customer exceeds its concurrency limit.
@@ -61,7 +63,7 @@
 
 impl RefusalReason {
     /// Every reason, for the API description.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::TokenMissing,
         Self::TokenUnknown,
         Self::BodyInvalid,
@@ -76,6 +78,7 @@
         Self::NoReplica,
         Self::ColdStart,
         Self::Overloaded,
+        Self::PromptQuarantined,
         Self::RateLimited,
         Self::ConcurrencyLimited,
         Self::SpendLimited,
@@ -107,6 +110,7 @@
             Self::NoReplica => "no_replica",
             Self::ColdStart => "cold_start",
             Self::Overloaded => "overloaded",
+            Self::PromptQuarantined => "prompt_quarantined",
             Self::RateLimited => "rate_limited",
             Self::ConcurrencyLimited => "concurrency_limited",
             Self::SpendLimited => "spend_limited",
@@ -142,6 +146,7 @@
             | Self::NoReplica
             | Self::ColdStart
             | Self::Overloaded
+            | Self::PromptQuarantined
             | Self::Isolated
             | Self::NotReady
             | Self::ClaimsUnavailable
@@ -159,6 +164,7 @@
             | Self::NotReady
             | Self::ShuttingDown => Some(1),
             Self::NoReplica | Self::Isolated | Self::ClaimsUnavailable => Some(5),
+            Self::PromptQuarantined => Some(30),
             Self::DataCentreDrained | Self::SpendLimited => Some(60),
             _ => None,
         }
--- a/src/relay/call_failure.rs
+++ b/src/relay/call_failure.rs
@@ -3,11 +3,14 @@
 //! A 503 guarantees the caller that the call did not run, so a call that may have run gets another
 //! status.
 
+use std::time::Duration;
+
 use rand::RngExt as _;
 
 use super::call_job::CallProgress;
 use super::replica_choice::ChoiceRefusal;
 use crate::error_body::{RequestRefusal, RunState};
+use crate::ids;
 use crate::refusal_reason::RefusalReason;
 
 /// Delay after which a replica may have capacity again.
@@ -50,6 +53,23 @@
     refused_by_run_state(progress, RefusalReason::Overloaded, message, BUSY_RETRY_S)
 }
 
+/// Failure of a call whose prompt has a quarantined part; the next trial is due after
+/// `time_to_trial`.
+pub(super) fn prompt_quarantined(
+    progress: &CallProgress,
+    part: ids::PromptPartId,
+    time_to_trial: Duration,
+) -> CallFailure {
+    let reason = RefusalReason::PromptQuarantined;
+    let message = format!("replicas crash under part {part:x} of the prompt");
+    refused_by_run_state(
+        progress,
+        reason,
+        &message,
+        time_to_trial.as_secs_f64().max(UNAVAILABLE_RETRY_S),
+    )
+}
+
 /// Failure of a call whose deadline has passed.
 pub(super) fn deadline_exceeded(progress: &CallProgress) -> CallFailure {
     let (reason, message) = (RefusalReason::DeadlineExceeded, "the time for the answer has passed");
@@ -65,7 +85,7 @@
 fn refused_by_run_state(
     progress: &CallProgress,
     reason: RefusalReason,
-    message: &'static str,
+    message: &str,
     retry_after: f64,
 ) -> CallFailure {
     if progress.possible_runs > 0 {
--- a/src/relay/call_flow.rs
+++ b/src/relay/call_flow.rs
@@ -176,16 +176,19 @@
     ) -> Result<CallEnd, CallFailure> {
         progress.model_index = cascade_plan::FIRST_MODEL_INDEX;
         loop {
+            self.check_prompt(job, progress).await?;
             let choice = self.next_choice(job, progress).await;
             let choice =
                 choice.map_err(|refusal| call_failure::without_choice(refusal, progress))?;
             let guard = InFlightGuard::new(self, choice);
+            // The choice may have waited for a free replica.
+            self.check_prompt(job, progress).await?;
             if progress.sent_attempts + progress.unreachable_replicas > 0 {
                 self.check_retry(job, progress)?;
             }
             progress.last_choice = Some(guard.choice().clone());
             let end = self.run_attempt(job, progress, guard, writer).await?;
-            self.check_crash(job, progress, &end).await;
+            self.check_crash(job, progress, &end).await?;
             match end {
                 // The caller has received the start of a stream, so this answer cannot follow.
                 AttemptEnd::Complete(..) if writer.progress() != AnswerProgress::NotStarted => {
--- a/src/relay/call_job.rs
+++ b/src/relay/call_job.rs
@@ -92,8 +92,12 @@
     pub written_events: u64,
     /// Number of events that the replica of the last attempt has sent.
     pub attempt_events: u64,
-    /// Replicas that crashed in attempts without a sound start of an answer.
+    /// Whether a replica has begun to answer the prompt without a crash.
+    pub has_begun: bool,
+    /// Replicas that crashed before they had begun to answer.
     pub crashed_replicas: u32,
+    /// Whether the call is the trial of a quarantined part of its prompt.
+    pub is_trial: bool,
     /// Whether an event without an id was written, after which no replica can resume the stream.
     pub has_events_without_id: bool,
     /// Replica of the last attempt and the figures behind its choice.
--- a/src/relay/call_request.rs
+++ b/src/relay/call_request.rs
@@ -8,11 +8,12 @@
 use bytes::Bytes;
 use smallvec::SmallVec;
 
+use crate::ids;
+
 /// Part of a prompt, the unit in which replicas cache prompts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
-    /// Identifier of the text; equal texts have equal identifiers.
-    pub id: u64,
+    pub id: ids::PromptPartId,
     pub tokens: u32,
 }
 
--- a/src/relay/crash_flow.rs
+++ b/src/relay/crash_flow.rs
@@ -1,4 +1,5 @@
-//! Finds out whether a replica crashed when an attempt was cut off before its answer had begun.
+//! Finds out whether a replica crashed when an attempt was cut off before its answer had begun, and
+//! keeps prompts under which replicas crash from further replicas.
 //!
 //! A connection may also be closed for other reasons, such as an idle timeout or a limit on
 //! connections. A replica whose process has ended refuses new connections as well.
@@ -6,39 +7,116 @@
 use std::io;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use super::attempt_flow::{AttemptEnd, DEFAULT_IDLE_TIMEOUT};
+use super::call_failure::{self, CallFailure};
 use super::call_job::{CallJob, CallProgress};
 use super::call_log;
 use super::relay_node::RelayNode;
 use super::replica_entry::ReplicaEntry;
+use super::suspect_record::CrashedProcess;
+use super::suspect_table::PromptVerdict;
+use super::suspect_writer;
 use crate::event_catalogue::LogEvent;
 use crate::http1::connection::ClientConnection;
 use crate::http1::message_error::MessageError;
+use crate::ids;
 use crate::retry_reason::RetryReason;
 
 /// Events of a stream after which the replica has begun to answer without a crash.
-pub(super) const MIN_SOUND_EVENTS: u64 = 3;
+const MIN_SOUND_EVENTS: u64 = 3;
 /// Time within which a live replica accepts or refuses a connection.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Crashes under one call with suspected parts after which it is not sent again.
+const MAX_CRASHED_REPLICAS: u32 = 2;
 
 impl RelayNode {
+    /// Checks before an attempt that no part of the prompt is quarantined, and claims a trial that
+    /// is due.
+    ///
+    /// # Errors
+    /// When the prompt is refused.
+    pub(super) async fn check_prompt(
+        &self,
+        job: &CallJob,
+        progress: &mut CallProgress,
+    ) -> Result<(), CallFailure> {
+        if progress.has_begun || progress.is_trial {
+            return Ok(());
+        }
+        let verdict = self.suspects.lock().verdict(job.call.shared_parts(), Instant::now());
+        let part = match verdict {
+            PromptVerdict::Allowed => return Ok(()),
+            PromptVerdict::Refused(part, time) => {
+                return Err(self.refuse_prompt(progress, part, time));
+            }
+            PromptVerdict::TrialDue(part) => part,
+        };
+        if !suspect_writer::claim_trial(self, part).await {
+            return Err(self.refuse_prompt(progress, part, Duration::ZERO));
+        }
+        progress.is_trial = true;
+        let fields = slog::o!("part" => format!("{part:x}"), "request" => job.call.id_text());
+        self.emit(LogEvent::PartTried, fields);
+        Ok(())
+    }
+
+    fn refuse_prompt(
+        &self,
+        progress: &CallProgress,
+        part: ids::PromptPartId,
+        time_to_trial: Duration,
+    ) -> CallFailure {
+        metrics::counter!("yuccareel_quarantined_requests_total").increment(1);
+        call_failure::prompt_quarantined(progress, part, time_to_trial)
+    }
+
+    /// Records that the replica of the current attempt answers the prompt without a crash.
+    pub(super) fn record_begun_answer(&self, job: &CallJob, progress: &mut CallProgress) {
+        let parts = job.call.shared_parts();
+        if std::mem::replace(&mut progress.has_begun, true) || parts.is_empty() {
+            return;
+        }
+        self.suspects.lock().record_sound(parts, Instant::now());
+        suspect_writer::log_quarantine_changes(self);
+    }
+
+    /// Counts an event of the current attempt.
+    pub(super) fn record_event(&self, job: &CallJob, progress: &mut CallProgress) {
+        progress.attempt_events += 1;
+        if progress.attempt_events >= MIN_SOUND_EVENTS {
+            self.record_begun_answer(job, progress);
+        }
+    }
+
     /// Checks after an attempt on a prompt with shared parts whether its replica crashed before the
     /// answer had begun.
+    ///
+    /// # Errors
+    /// When the call must not be sent again, as replicas may crash under it.
     pub(super) async fn check_crash(
         &self,
         job: &CallJob,
         progress: &mut CallProgress,
         end: &AttemptEnd,
-    ) {
+    ) -> Result<(), CallFailure> {
+        match end {
+            AttemptEnd::Streamed => self.record_begun_answer(job, progress),
+            AttemptEnd::Complete(head, _) if head.is_success() => {
+                self.record_begun_answer(job, progress);
+            }
+            _ => {}
+        }
         let is_cut = matches!(end, AttemptEnd::Failed(RetryReason::StreamTruncated));
-        let has_begun = progress.attempt_events >= MIN_SOUND_EVENTS;
-        if !is_cut || has_begun || job.call.shared_parts().is_empty() {
-            return;
+        let parts = job.call.shared_parts();
+        if !is_cut || progress.attempt_events >= MIN_SOUND_EVENTS || parts.is_empty() {
+            return Ok(());
         }
-        let Some(choice) = &progress.last_choice else { return };
+        let Some(choice) = &progress.last_choice else { return Ok(()) };
         let entry = choice.entry.clone();
         if !self.refuses_connections(&entry).await {
-            return;
+            return Ok(());
         }
         progress.crashed_replicas += 1;
         let fields = slog::o!(
@@ -46,6 +124,19 @@
             "parts" => call_log::parts_text(job), "crashes" => progress.crashed_replicas,
         );
         self.emit(LogEvent::ReplicaCrashed, fields);
+        let process =
+            CrashedProcess { replica: entry.name.clone(), started_unix_ms: entry.started_unix_ms };
+        let blamed = self.suspects.lock().record_crash(parts, &process, Instant::now());
+        if blamed.is_empty() {
+            return Ok(());
+        }
+        self.suspects_changed.notify_one();
+        suspect_writer::log_quarantine_changes(self);
+        if progress.is_trial || progress.crashed_replicas >= MAX_CRASHED_REPLICAS {
+            let message = "replicas crashed under the call";
+            return Err(call_failure::attempts_exhausted(progress, message));
+        }
+        Ok(())
     }
 
     /// Whether nothing listens at the address of a replica. An accepted connection is kept for the
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,9 +6,9 @@
 //!
 //! Decisions are made in modules without I/O: `attempt_budget`, `cold_budget`, `cascade_plan`,
 //! `replica_score`, `load_prior`, `prefill_average`, `mirror_scope`, `poll_interval`,
-//! `retry_backoff`, `rollout_plan`, `event_splitter` and most of `shared_feed`. The
+//! `retry_backoff`, `rollout_plan`, `event_splitter`, `part_history`, `suspect_table` and most of `shared_feed`. The
 //! modules that do I/O call them: `caller_server`, `discovery_server`, `call_flow`, `load_probe`,
-//! `store_mirror`, `member_registry` and `rollout_controller`. An adapter implements the traits in
+//! `store_mirror`, `member_registry`, `suspect_writer` and `rollout_controller`. An adapter implements the traits in
 //! `call_codec` and `store_codec`. No other module contains names that a platform uses on the wire.
 
 mod accept_loop;
@@ -38,6 +38,7 @@
 pub mod member_list;
 pub mod member_registry;
 pub mod mirror_scope;
+pub mod part_history;
 pub mod poll_interval;
 pub mod prefill_average;
 pub mod relay_config;
@@ -60,4 +61,7 @@
 pub mod store_paths;
 pub mod store_tunnel;
 pub mod stream_flow;
+pub mod suspect_record;
+pub mod suspect_table;
+mod suspect_writer;
 pub mod version_rule;
--- a/src/relay/relay_node.rs
+++ b/src/relay/relay_node.rs
@@ -10,7 +10,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use super::attempt_budget::AttemptBudget;
@@ -27,6 +27,7 @@
 use super::shared_feed::feed_table::FeedTable;
 use super::store_codec::StoreCodec;
 use super::store_paths::StorePaths;
+use super::suspect_table::SuspectTable;
 use crate::event_catalogue::{self, LogEvent};
 use crate::ids;
 
@@ -64,6 +65,10 @@
     /// Instances that are registered in the store.
     pub members: Mutex<MemberList>,
     pub rollouts: Mutex<RolloutTable>,
+    /// Prompt parts under which replicas crash.
+    pub suspects: Mutex<SuspectTable>,
+    /// Wakes the task that writes changes of `suspects` to the store.
+    pub suspects_changed: Notify,
     /// Records of the store as this instance has read them.
     pub feeds: FeedTable,
     /// Budget of retries and escalations.
@@ -99,6 +104,8 @@
             fleet: Mutex::default(),
             members: Mutex::default(),
             rollouts: Mutex::default(),
+            suspects: Mutex::default(),
+            suspects_changed: Notify::new(),
             feeds: FeedTable::default(),
             attempt_budget: Mutex::new(attempt_budget),
             connection_pool: Mutex::default(),
--- a/src/relay/relay_service.rs
+++ b/src/relay/relay_service.rs
@@ -17,7 +17,7 @@
 use super::rollout_controller::RolloutController;
 use super::shared_feed::feed_server;
 use super::store_mirror::StoreMirror;
-use super::{accept_loop, caller_server, member_registry, store_tunnel};
+use super::{accept_loop, caller_server, member_registry, store_tunnel, suspect_writer};
 use crate::event_catalogue::LogEvent;
 use crate::process_output;
 
@@ -74,6 +74,7 @@
     }
     let registry = tokio::spawn(member_registry::run(node.clone()));
     tokio::spawn(RolloutController::new(node.clone()).run());
+    tokio::spawn(suspect_writer::run(node.clone()));
     let store = node.store.clone();
     tokio::spawn(async move { store.run_direct_probes().await });
     tokio::spawn(process_output::run_metrics_upkeep(metrics));
--- a/src/relay/store_mirror.rs
+++ b/src/relay/store_mirror.rs
@@ -18,12 +18,12 @@
 use super::relay_node::RelayNode;
 use super::replica_fleet::EntryChange;
 use super::retry_backoff::RetryBackoff;
-use super::rollout_controller;
 use super::shared_feed::feed_batch::{BatchContent, FeedBatch};
 use super::shared_feed::feed_client::{FeedClient, FeedError};
 use super::shared_feed::feed_message::FeedRequest;
 use super::shared_feed::reader_choice::{ReaderChoice, RecordSource};
 use super::store_codec::StoreKey;
+use super::{rollout_controller, suspect_writer};
 use crate::event_catalogue::LogEvent;
 use crate::ids;
 use crate::kv_store::{KvEntry, KvError, KvEvent, KvStore as _};
@@ -492,7 +492,7 @@
                 node.log_unreadable_record(&entry.key, &error);
             }
         }
-    } else {
+    } else if !suspect_writer::apply_record(node, entry) {
         rollout_controller::apply_record(node, entry);
     }
 }
@@ -502,7 +502,7 @@
         let removed = node.members.lock().expire_entry(name, Instant::now());
         let fields = slog::o!("member" => name.to_owned(), "kept" => !removed);
         node.emit(LogEvent::MemberLeft, fields);
-    } else {
+    } else if !suspect_writer::remove_record(node, key) {
         rollout_controller::remove_record(node, key);
     }
 }
--- a/src/relay/stream_flow.rs
+++ b/src/relay/stream_flow.rs
@@ -81,6 +81,7 @@
                 last_event_at = Instant::now();
                 let name = &guard.choice().entry.name;
                 self.fleet.lock().record_activity(name, last_event_at);
+                self.record_event(job, progress);
                 write_event(progress, head, &event, writer).await?;
             }
             if splitter.buffered_bytes() > MAX_EVENT_BYTES {
@@ -112,7 +113,6 @@
     event: &StreamEvent,
     writer: &mut CallerWriter,
 ) -> io::Result<()> {
-    progress.attempt_events += 1;
     // A replica that resumes a stream may repeat events that the caller already received.
     let is_repeated = event.id.zip(progress.last_event_id).is_some_and(|(id, last)| id <= last);
     if is_repeated {
--- /dev/null
+++ b/src/relay/suspect_table.rs
@@ -0,0 +1,372 @@
+//! Decides which prompts are refused because replicas crash under one of their parts.
+//!
+//! One part of a prompt may crash each replica that begins to answer it, whatever else the prompt
+//! holds. Requests with that part may come to any instance, so the instances share the crashes of
+//! each part through the store. A part with several crashes and no sound answer is quarantined:
+//! prompts with it are refused, except for single trials after growing intervals.
+//!
+//! Other parts come into question too: those of requests that waited at a crashed replica, and
+//! those that always stand beside the deadly part. A sound answer clears a part at once. A part is
+//! not refused while another one explains its crashes, and a prompt is admitted as a trial only if
+//! it tests a single part.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::RngExt as _;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use super::call_request::PromptPart;
+use super::part_history::PartHistory;
+use super::suspect_record::{CrashedProcess, SuspectRecord};
+use crate::ids;
+
+/// Suspected parts that are kept. Records in the store end with their lease.
+const MAX_SUSPECTS: usize = 1_024;
+/// Time from the start of a quarantine to the first trial of a part that shares its crashes with
+/// another one: one of the two is sound, and a single prompt shows which.
+const AMBIGUOUS_TRIAL_DELAY: Duration = Duration::from_secs(2);
+/// Time for which no further trial is tried after another instance took one.
+const FAILED_CLAIM_DELAY: Duration = Duration::from_secs(1);
+/// Longest random delay before sound answers are written to the store, as many instances may have
+/// one: for a quarantined part, which others refuse meanwhile, and for any other.
+const MAX_RELEASE_DELAY: Duration = Duration::from_millis(150);
+const MAX_SOUND_DELAY: Duration = Duration::from_millis(1_500);
+
+/// Prompt parts of one request, or a selection of them.
+pub type PartList = SmallVec<[ids::PromptPartId; 4]>;
+
+/// Decision on a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PromptVerdict {
+    Allowed,
+    /// Replicas crash under the part. The next trial is due after the duration.
+    Refused(ids::PromptPartId, Duration),
+    /// The prompt may be sent as the trial of the part if this instance can claim the trial.
+    TrialDue(ids::PromptPartId),
+}
+
+/// Start or end of a quarantine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuarantineChange {
+    Started { crashes: usize },
+    Ended,
+}
+
+/// Change of a record that is to be written to the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SuspectChange {
+    pub part: ids::PromptPartId,
+    /// Revision of the record that is replaced; 0 if there is none.
+    pub revision: ids::KvRevision,
+    /// New record; `None` deletes it.
+    pub record: Option<SuspectRecord>,
+}
+
+#[derive(Debug, Default)]
+struct SuspectRow {
+    /// Record in the store, with the crashes that are not written yet.
+    record: SuspectRecord,
+    revision: ids::KvRevision,
+    unwritten_crashes: SmallVec<[CrashedProcess; 2]>,
+    /// Whether this instance has seen a sound answer since the first crash.
+    is_sound: bool,
+    /// Whether the record is to state that the part was sound before the crashes.
+    is_objected: bool,
+    /// Time from which a sound answer or an objection is written.
+    write_at: Option<Instant>,
+    quarantined_since: Option<Instant>,
+    next_claim_at: Option<Instant>,
+}
+
+impl SuspectRow {
+    fn has_change(&self, now: Instant) -> bool {
+        let is_due = self.write_at.is_some_and(|at| now >= at);
+        if self.is_sound {
+            return is_due;
+        }
+        !self.unwritten_crashes.is_empty() || (is_due && self.is_objected && !self.record.was_sound)
+    }
+}
+
+/// Suspected prompt parts, and what this instance knows of sound ones.
+#[derive(Debug, Default)]
+pub struct SuspectTable {
+    rows: HashMap<ids::PromptPartId, SuspectRow>,
+    /// Parts whose trial was claimed in the store not long ago.
+    held_parts: HashMap<ids::PromptPartId, Instant>,
+    history: PartHistory,
+    quarantine_changes: Vec<(ids::PromptPartId, QuarantineChange)>,
+}
+
+impl SuspectTable {
+    /// Decides on a prompt before it is sent.
+    pub fn verdict(&self, parts: &[PromptPart], now: Instant) -> PromptVerdict {
+        let quarantined: PartList =
+            parts.iter().map(|part| part.id).filter(|part| self.is_quarantined(*part)).collect();
+        match quarantined[..] {
+            [] => PromptVerdict::Allowed,
+            [part] if self.time_to_trial(part, now).is_zero() => PromptVerdict::TrialDue(part),
+            _ => {
+                let times = quarantined.iter().map(|part| (self.time_to_trial(*part, now), *part));
+                let (time, part) = times.max().unwrap_or_default();
+                PromptVerdict::Refused(part, time)
+            }
+        }
+    }
+
+    /// Records that a replica crashed before it had begun to answer a prompt. Blames the quarantined
+    /// parts, or else those that are not known to be sound, by any instance or by this one. Returns
+    /// the blamed parts.
+    pub fn record_crash(
+        &mut self,
+        parts: &[PromptPart],
+        process: &CrashedProcess,
+        now: Instant,
+    ) -> PartList {
+        let blamed = self.blamed_parts(parts, now);
+        if blamed.is_empty() {
+            parts.iter().for_each(|part| self.history.record_crash(part.id));
+        }
+        for part in &blamed {
+            let has_space = self.rows.len() < MAX_SUSPECTS || self.rows.contains_key(part);
+            if !has_space {
+                continue;
+            }
+            let row = self.rows.entry(*part).or_default();
+            row.is_sound = false;
+            if row.record.add_crash(process) {
+                row.unwritten_crashes.push(process.clone());
+            }
+            self.update_quarantine(*part, now);
+        }
+        blamed
+    }
+
+    /// Records that a replica began to answer a prompt and did not crash, which clears its parts.
+    pub fn record_sound(&mut self, parts: &[PromptPart], now: Instant) {
+        for part in parts {
+            self.history.record_sound(part.id, now);
+            let Some(row) = self.rows.get_mut(&part.id).filter(|row| !row.is_sound) else {
+                continue;
+            };
+            row.is_sound = true;
+            row.unwritten_crashes.clear();
+            let max_delay =
+                if row.quarantined_since.is_some() { MAX_RELEASE_DELAY } else { MAX_SOUND_DELAY };
+            row.write_at = Some(now + random_part_of(max_delay));
+            let is_stored = row.revision != 0;
+            self.update_quarantine(part.id, now);
+            if !is_stored {
+                self.rows.remove(&part.id);
+            }
+        }
+    }
+
+    /// Applies a record that was read from the store.
+    pub fn apply_record(
+        &mut self,
+        part: ids::PromptPartId,
+        record: SuspectRecord,
+        revision: ids::KvRevision,
+        now: Instant,
+    ) {
+        if self.rows.len() >= MAX_SUSPECTS && !self.rows.contains_key(&part) {
+            return;
+        }
+        let was_sound_before = self.history.is_sound(part, now);
+        let row = self.rows.entry(part).or_default();
+        if revision < row.revision {
+            return;
+        }
+        row.revision = revision;
+        row.record = record;
+        row.record.limit_crashes();
+        let record = &mut row.record;
+        row.unwritten_crashes.retain(|process| record.add_crash(process));
+        if was_sound_before && !row.record.was_sound && !row.is_objected {
+            row.is_objected = true;
+            row.write_at = Some(now + random_part_of(MAX_RELEASE_DELAY));
+        }
+        self.update_quarantine(part, now);
+    }
+
+    /// Applies the deletion of a record in the store. Crashes that are not written yet remain.
+    pub fn remove_record(&mut self, part: ids::PromptPartId, now: Instant) {
+        let Some(row) = self.rows.get_mut(&part) else { return };
+        let unwritten_crashes = std::mem::take(&mut row.unwritten_crashes);
+        let crashes = unwritten_crashes.to_vec();
+        *row = SuspectRow {
+            record: SuspectRecord { crashes, ..SuspectRecord::default() },
+            unwritten_crashes,
+            quarantined_since: row.quarantined_since,
+            ..SuspectRow::default()
+        };
+        let is_empty = row.unwritten_crashes.is_empty();
+        self.update_quarantine(part, now);
+        if is_empty {
+            self.rows.remove(&part);
+        }
+    }
+
+    /// Records whether the store holds a claim on the trial of a part.
+    pub fn set_held(&mut self, part: ids::PromptPartId, is_held: bool, now: Instant) {
+        if !is_held {
+            self.held_parts.remove(&part);
+        } else if self.held_parts.len() < MAX_SUSPECTS {
+            self.held_parts.insert(part, now);
+        }
+    }
+
+    /// Changes that are to be written to the store, each conditional on its revision.
+    pub fn due_changes(&self, now: Instant) -> Vec<SuspectChange> {
+        let due = self.rows.iter().filter(|(_, row)| row.has_change(now));
+        let changes = due.map(|(part, row)| SuspectChange {
+            part: *part,
+            revision: row.revision,
+            record: (!row.is_sound).then(|| SuspectRecord {
+                was_sound: row.record.was_sound || row.is_objected,
+                ..row.record.clone()
+            }),
+        });
+        changes.collect()
+    }
+
+    /// Records that a change was written at `revision`.
+    pub fn confirm_written(
+        &mut self,
+        change: &SuspectChange,
+        revision: ids::KvRevision,
+        now: Instant,
+    ) {
+        let Some(record) = &change.record else {
+            self.held_parts.remove(&change.part);
+            return self.remove_record(change.part, now);
+        };
+        if let Some(row) = self.rows.get_mut(&change.part) {
+            row.unwritten_crashes.retain(|process| !record.crashes.contains(process));
+            row.record.was_sound = record.was_sound;
+            row.record.trials = record.trials;
+            row.revision = revision;
+        }
+        self.update_quarantine(change.part, now);
+    }
+
+    /// Record and revision with which the trial of a part is claimed; `None` if the part is no
+    /// longer quarantined.
+    pub fn trial_change(&self, part: ids::PromptPartId) -> Option<SuspectChange> {
+        let row = self.rows.get(&part).filter(|_| self.is_quarantined(part))?;
+        let mut record = row.record.clone();
+        record.trials += 1;
+        Some(SuspectChange { part, revision: row.revision, record: Some(record) })
+    }
+
+    /// Delays the next claim of a trial, as another instance took it or the store did not answer.
+    pub fn record_failed_claim(&mut self, part: ids::PromptPartId, now: Instant) {
+        if let Some(row) = self.rows.get_mut(&part) {
+            row.next_claim_at = Some(now + FAILED_CLAIM_DELAY);
+        }
+    }
+
+    /// Removes and returns the starts and ends of quarantines since the last call.
+    pub fn take_quarantine_changes(&mut self) -> Vec<(ids::PromptPartId, QuarantineChange)> {
+        std::mem::take(&mut self.quarantine_changes)
+    }
+
+    /// Number of quarantined parts.
+    pub fn quarantined_count(&self) -> usize {
+        self.rows.keys().filter(|part| self.is_quarantined(**part)).count()
+    }
+
+    fn blamed_parts(&self, parts: &[PromptPart], now: Instant) -> PartList {
+        let ids: PartList = parts.iter().map(|part| part.id).collect();
+        if ids.iter().any(|part| self.is_quarantined(*part)) {
+            return ids.into_iter().filter(|part| self.is_quarantined(*part)).collect();
+        }
+        let was_sound =
+            |part: &ids::PromptPartId| self.rows.get(part).is_some_and(|row| row.record.was_sound);
+        let mut blamed: PartList =
+            ids.into_iter().filter(|part| !self.history.is_sound(*part, now)).collect();
+        if !blamed.iter().all(was_sound) {
+            blamed.retain(|part| !was_sound(part));
+        }
+        blamed
+    }
+
+    fn is_quarantined(&self, part: ids::PromptPartId) -> bool {
+        let row = self.rows.get(&part).filter(|row| row.quarantined_since.is_some());
+        row.is_some_and(|row| !self.is_explained(part, row))
+    }
+
+    /// Whether other quarantined parts, which were never sound, account for the crashes: for a part
+    /// that was sound before, all but a few of them together, and for any other part, one that was
+    /// at all of them and at more.
+    fn is_explained(&self, part: ids::PromptPartId, row: &SuspectRow) -> bool {
+        let record = &row.record;
+        let never_sound = || self.others(part).filter(|other| !other.record.was_sound);
+        if record.was_sound {
+            let is_unexplained = |process: &&CrashedProcess| {
+                !never_sound().any(|other| other.record.crashes.contains(process))
+            };
+            return record.crashes.iter().filter(is_unexplained).count() < record.min_crashes();
+        }
+        never_sound().any(|other| {
+            other.record.crashes.len() > record.crashes.len()
+                && record.shared_crashes(&other.record) == record.crashes.len()
+        })
+    }
+
+    /// Whether another quarantined part was at most of the crashes too.
+    fn is_ambiguous(&self, part: ids::PromptPartId, row: &SuspectRow) -> bool {
+        let others = self.rows.iter().filter(|(other, _)| **other != part);
+        others.filter(|(other, _)| self.is_quarantined(**other)).any(|(_, other)| {
+            row.record.shared_crashes(&other.record) * 2 > row.record.crashes.len()
+        })
+    }
+
+    fn others(&self, part: ids::PromptPartId) -> impl Iterator<Item = &SuspectRow> {
+        let rows = self.rows.iter().filter(move |(other, _)| **other != part);
+        rows.map(|(_, row)| row).filter(|row| row.quarantined_since.is_some())
+    }
+
+    /// Time until a trial of the part may be claimed.
+    fn time_to_trial(&self, part: ids::PromptPartId, now: Instant) -> Duration {
+        let Some((row, since)) =
+            self.rows.get(&part).and_then(|row| Some((row, row.quarantined_since?)))
+        else {
+            return Duration::ZERO;
+        };
+        let interval = row.record.trial_interval();
+        let due_at = match self.held_parts.get(&part) {
+            Some(held_at) => (*held_at + interval).max(now + FAILED_CLAIM_DELAY),
+            None if row.record.trials > 0 => since,
+            None if self.is_ambiguous(part, row) => since + AMBIGUOUS_TRIAL_DELAY,
+            None => since + interval,
+        };
+        let due_at = row.next_claim_at.map_or(due_at, |at| at.max(due_at));
+        due_at.saturating_duration_since(now)
+    }
+
+    /// Starts or ends the quarantine of a part by its row.
+    fn update_quarantine(&mut self, part: ids::PromptPartId, now: Instant) {
+        let Some(row) = self.rows.get_mut(&part) else { return };
+        let is_quarantined = row.record.is_quarantined() && !row.is_sound;
+        let change = match (row.quarantined_since, is_quarantined) {
+            (None, true) => {
+                row.quarantined_since = Some(now);
+                QuarantineChange::Started { crashes: row.record.crashes.len() }
+            }
+            (Some(_), false) => {
+                row.quarantined_since = None;
+                QuarantineChange::Ended
+            }
+            _ => return,
+        };
+        self.quarantine_changes.push((part, change));
+    }
+}
+
+fn random_part_of(max: Duration) -> Duration {
+    max.mul_f64(rand::rng().random::<f64>())
+}
--- /dev/null
+++ b/src/relay/suspect_writer.rs
@@ -0,0 +1,238 @@
+//! Shares suspected prompt parts with the other instances, through records in the store.
+//!
+//! Each record is written under the condition that it has not changed since it was read. If it has,
+//! the change is made again to the current record, so that no instance's evidence is lost.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::relay_node::RelayNode;
+use super::suspect_record::SuspectRecord;
+use super::suspect_table::{QuarantineChange, SuspectChange};
+use crate::event_catalogue::LogEvent;
+use crate::ids;
+use crate::kv_store::{
+    KvCompare, KvEntry, KvError, KvOperation, KvOutcome, KvStore as _, KvTransaction,
+};
+
+/// Prefix of the records, by part in hexadecimal.
+const RECORD_PREFIX: &str = "yuccareel/suspect/";
+/// Prefix of the claims on trials, by part. A claim ends with its lease.
+const HOLD_PREFIX: &str = "yuccareel/suspect-hold/";
+/// Lease of records, the longest that the store grants. It outlives the instance, as the evidence
+/// does not depend on it.
+const RECORD_TTL_S: i64 = 600;
+/// Age from which the lease for new records is replaced.
+const MAX_LEASE_AGE: Duration = Duration::from_secs(300);
+/// Interval at which delayed changes are looked for.
+const DELAYED_CHANGE_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Lease to which this instance attaches records.
+struct RecordLease {
+    id: ids::LeaseId,
+    granted_at: Instant,
+}
+
+/// Writes changes to the store until the process ends.
+pub async fn run(node: Arc<RelayNode>) {
+    let mut lease = None;
+    loop {
+        // Bounded, as sound answers and objections are written after a delay.
+        let _ =
+            tokio::time::timeout(DELAYED_CHANGE_INTERVAL, node.suspects_changed.notified()).await;
+        let changes = node.suspects.lock().due_changes(Instant::now());
+        for change in changes {
+            if let Err(error) = write_change(&node, &change, &mut lease).await {
+                let fields = slog::o!("call" => "suspect", "error" => error.to_string());
+                node.emit(LogEvent::KvFailed, fields);
+                lease = None;
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn write_change(
+    node: &RelayNode,
+    change: &SuspectChange,
+    lease: &mut Option<RecordLease>,
+) -> Result<(), KvError> {
+    let record_key = record_key(change.part);
+    let operations = match &change.record {
+        Some(record) => {
+            let lease = record_lease(node, lease).await?;
+            vec![KvOperation::Put(record_key.clone(), encode(record)?, lease)]
+        }
+        None => {
+            vec![
+                KvOperation::Delete(record_key.clone()),
+                KvOperation::Delete(hold_key(change.part)),
+            ]
+        }
+    };
+    let compares = vec![KvCompare::ModRevision(record_key, change.revision)];
+    let outcome = node.store.commit(KvTransaction { compares, operations }).await?;
+    apply_outcome(node, change, &outcome);
+    Ok(())
+}
+
+/// Claims the one trial of a quarantined part that is due; returns whether this instance has it.
+pub(super) async fn claim_trial(node: &RelayNode, part: ids::PromptPartId) -> bool {
+    let change = node.suspects.lock().trial_change(part);
+    let Some(change) = change else { return false };
+    let claim = commit_claim(node, &change).await;
+    let is_claimed = claim.as_ref().is_ok_and(|outcome| outcome.committed);
+    match claim {
+        Ok(outcome) => apply_outcome(node, &change, &outcome),
+        Err(error) => {
+            let fields = slog::o!("call" => "suspect", "error" => error.to_string());
+            node.emit(LogEvent::KvFailed, fields);
+        }
+    }
+    let mut suspects = node.suspects.lock();
+    if is_claimed {
+        suspects.set_held(part, true, Instant::now());
+    } else {
+        suspects.record_failed_claim(part, Instant::now());
+    }
+    is_claimed
+}
+
+async fn commit_claim(node: &RelayNode, change: &SuspectChange) -> Result<KvOutcome, KvError> {
+    let Some(record) = &change.record else {
+        return Err(KvError::Refused("a trial needs a record".to_owned()));
+    };
+    let (record_key, hold_key) = (record_key(change.part), hold_key(change.part));
+    let record_lease = node.store.grant_lease(RECORD_TTL_S).await?;
+    let hold_ttl_s = i64::try_from(record.trial_interval().as_secs()).unwrap_or(RECORD_TTL_S);
+    let hold_lease = node.store.grant_lease(hold_ttl_s).await?;
+    let holder = Bytes::copy_from_slice(node.settings.name.as_bytes());
+    let transaction = KvTransaction {
+        compares: vec![
+            KvCompare::ModRevision(record_key.clone(), change.revision),
+            KvCompare::ModRevision(hold_key.clone(), 0),
+        ],
+        operations: vec![
+            KvOperation::Put(record_key, encode(record)?, record_lease),
+            KvOperation::Put(hold_key, holder, hold_lease),
+        ],
+    };
+    node.store.commit(transaction).await
+}
+
+/// Applies the outcome of a conditional write: the new revision, or the record as it stands.
+fn apply_outcome(node: &RelayNode, change: &SuspectChange, outcome: &KvOutcome) {
+    if outcome.committed {
+        node.suspects.lock().confirm_written(change, outcome.revision, Instant::now());
+    } else {
+        let record_key = record_key(change.part);
+        match outcome.current.iter().find(|entry| entry.key == record_key) {
+            Some(entry) => {
+                apply_record(node, entry);
+            }
+            None => node.suspects.lock().remove_record(change.part, Instant::now()),
+        }
+        // The change is still due, now on the current record.
+        node.suspects_changed.notify_one();
+    }
+    log_quarantine_changes(node);
+}
+
+/// Applies an entry of the store; returns whether it is one of this module's.
+pub(super) fn apply_record(node: &RelayNode, entry: &KvEntry) -> bool {
+    let now = Instant::now();
+    if let Some(part) = entry.key.strip_prefix(HOLD_PREFIX) {
+        if let Some(part) = parse_part(part) {
+            node.suspects.lock().set_held(part, true, now);
+        }
+        return true;
+    }
+    let Some(part) = entry.key.strip_prefix(RECORD_PREFIX) else { return false };
+    match (parse_part(part), serde_json::from_slice::<SuspectRecord>(&entry.value)) {
+        (Some(part), Ok(record)) => {
+            node.suspects.lock().apply_record(part, record, entry.mod_revision, now);
+            log_quarantine_changes(node);
+        }
+        (_, Err(error)) => node.log_unreadable_record(&entry.key, &error),
+        (None, _) => node.log_unreadable_record(&entry.key, &"part is not a hexadecimal number"),
+    }
+    true
+}
+
+/// Applies the deletion of an entry; returns whether it was one of this module's.
+pub(super) fn remove_record(node: &RelayNode, key: &str) -> bool {
+    let now = Instant::now();
+    if let Some(part) = key.strip_prefix(HOLD_PREFIX) {
+        if let Some(part) = parse_part(part) {
+            node.suspects.lock().set_held(part, false, now);
+        }
+        return true;
+    }
+    let Some(part) = key.strip_prefix(RECORD_PREFIX) else { return false };
+    if let Some(part) = parse_part(part) {
+        node.suspects.lock().remove_record(part, now);
+        log_quarantine_changes(node);
+    }
+    true
+}
+
+/// Logs the quarantines that have started or ended.
+pub(super) fn log_quarantine_changes(node: &RelayNode) {
+    let (changes, quarantined) = {
+        let mut suspects = node.suspects.lock();
+        let changes = suspects.take_quarantine_changes();
+        if changes.is_empty() {
+            return;
+        }
+        (changes, suspects.quarantined_count())
+    };
+    metrics::gauge!("yuccareel_quarantined_parts").set(quarantined as f64);
+    for (part, change) in changes {
+        let part = format!("{part:x}");
+        match change {
+            QuarantineChange::Started { crashes } => {
+                node.emit(
+                    LogEvent::PartQuarantined,
+                    slog::o!("part" => part, "crashes" => crashes),
+                );
+            }
+            QuarantineChange::Ended => {
+                node.emit(LogEvent::PartReleased, slog::o!("part" => part));
+            }
+        }
+    }
+}
+
+async fn record_lease(
+    node: &RelayNode,
+    lease: &mut Option<RecordLease>,
+) -> Result<ids::LeaseId, KvError> {
+    if let Some(lease) = lease.as_ref().filter(|lease| lease.granted_at.elapsed() < MAX_LEASE_AGE) {
+        return Ok(lease.id);
+    }
+    let id = node.store.grant_lease(RECORD_TTL_S).await?;
+    *lease = Some(RecordLease { id, granted_at: Instant::now() });
+    Ok(id)
+}
+
+fn record_key(part: ids::PromptPartId) -> String {
+    format!("{RECORD_PREFIX}{part:x}")
+}
+
+fn hold_key(part: ids::PromptPartId) -> String {
+    format!("{HOLD_PREFIX}{part:x}")
+}
+
+fn parse_part(text: &str) -> Option<ids::PromptPartId> {
+    ids::PromptPartId::from_str_radix(text, 16).ok()
+}
+
+fn encode(record: &SuspectRecord) -> Result<Bytes, KvError> {
+    let text = serde_json::to_vec(record).map_err(|error| KvError::Refused(error.to_string()))?;
+    Ok(Bytes::from(text))
+}
