Count the answers of the lease holder once

A rollout could be rolled back or moved on by answers that were counted many times. The holder of the rollout lease added its own older report in the store and then its current total, under one name, at each tick. This happens when an instance takes the lease after it has published a report.

The holder now leaves out its own report. The counting is a type of its own, so that it can be tested without the store: with the old rule 64 answers are counted after 20 ticks instead of 7 (holders_count_their_own_answers_once failed on it).

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -38,6 +38,7 @@
 pub mod member_list;
 pub mod member_registry;
 pub mod mirror_scope;
+pub mod order_evidence;
 pub mod part_history;
 pub mod poll_interval;
 pub mod prefill_average;
--- a/src/relay/rollout_controller.rs
+++ b/src/relay/rollout_controller.rs
@@ -13,6 +13,7 @@
 use rand::RngExt as _;
 use tokio::time::Instant;
 
+use super::order_evidence::{self, OrderEvidence};
 use super::relay_node::{LifecycleStage, RelayNode};
 use super::rollout_plan::{self, RolloutPhase, RolloutProgress};
 use super::rollout_table::{EvidenceRecord, RolloutRecord, RolloutRow};
@@ -21,7 +22,7 @@
 use crate::event_catalogue::LogEvent;
 use crate::ids;
 use crate::kv_store::{KvCompare, KvEntry, KvError, KvOperation, KvStore as _, KvTransaction};
-use crate::rollout_evidence::{EvidenceBlock, RolloutTests, VersionEvidence};
+use crate::rollout_evidence::EvidenceBlock;
 
 /// Time between two ticks of the controller.
 const TICK_INTERVAL: Duration = Duration::from_millis(300);
@@ -36,13 +37,6 @@
 const REPORT_READ_INTERVAL: Duration = Duration::from_millis(600);
 /// Longest random delay before a free lease is claimed, so that not all instances try at once.
 const MAX_CLAIM_DELAY: Duration = Duration::from_millis(300);
-/// Rise of the failure rate that the sequential test tolerates.
-const TOLERATED_RATE_RISE: f64 = 0.1;
-/// Answers of the new version from which the failure rates are also compared directly.
-const MIN_COMPARED_ANSWERS: u64 = 6;
-/// Difference of the failure rates above which the direct comparison finds the new version bad.
-const MAX_RATE_DIFFERENCE: f64 = 0.3;
-
 /// Key that names the holder of the rollout lease.
 const LEASE_KEY: &str = "yuccareel/duty";
 /// Prefix of the recorded phases, by service.
@@ -51,16 +45,6 @@
 /// instances mirror, because only the lease holder reads it.
 const EVIDENCE_PREFIX: &str = "yuccareel-evidence/";
 
-/// Evidence that the lease holder has counted for one order.
-#[derive(Debug)]
-struct OrderEvidence {
-    order: ids::KvRevision,
-    tests: RolloutTests,
-    /// Totals of each instance at the last count.
-    counted_blocks: HashMap<ids::InstanceName, EvidenceBlock>,
-    total: EvidenceBlock,
-}
-
 /// Change of phase that is to be recorded.
 #[derive(Debug)]
 struct PhaseChange {
@@ -193,7 +177,8 @@
         let Some((order, block, stopped)) = self.own_evidence(service) else { return Ok(()) };
         let last = self.published_reports.get(service).filter(|last| last.order == order);
         let last_block = last.map_or(EvidenceBlock::default(), |last| last.block);
-        let has_new_failures = bad_answers(&block.to) > bad_answers(&last_block.to);
+        let has_new_failures =
+            order_evidence::bad_answers(&block.to) > order_evidence::bad_answers(&last_block.to);
         let interval = report_interval(self.node.members.lock().len());
         let is_due = last.is_none_or(|last| now >= last.published_at + interval);
         if block.to == last_block.to || !(has_new_failures || is_due) {
@@ -270,7 +255,7 @@
         revision: ids::KvRevision,
     ) {
         let total =
-            self.evidence.get(service).map_or(EvidenceBlock::default(), |evidence| evidence.total);
+            self.evidence.get(service).map_or(EvidenceBlock::default(), OrderEvidence::total);
         let fields = slog::o!(
             "service" => service.to_string(), "target" => change.record.target.to_string(),
             "from" => change.previous_phase.map(RolloutPhase::code),
@@ -322,7 +307,7 @@
             elapsed,
             phase_elapsed: row.phase_since.map_or(Duration::ZERO, |since| now - since),
             time_limit: observed.order.time_limit,
-            target_answers: evidence.total.to.requests,
+            target_answers: evidence.total().to.requests,
             target_replicas,
             is_bad: evidence.is_bad()
                 || row.is_stopped_locally()
@@ -332,53 +317,23 @@
         Some(change_to(phase, Some(current.phase)))
     }
 
-    /// Adds the evidence since the last tick to the tests, as one block.
+    /// Adds the evidence since the last tick, of this instance and of the others.
     fn count_evidence(
         &mut self,
         service: &ids::ServiceName,
         row: &RolloutRow,
         order: ids::KvRevision,
     ) -> &OrderEvidence {
-        let own_name = self.node.settings.name.clone();
         let evidence =
             self.evidence.entry(service.clone()).or_insert_with(|| OrderEvidence::new(order));
-        if evidence.order != order {
+        if evidence.order() != order {
             *evidence = OrderEvidence::new(order);
         }
-        let reports = row.reports.iter().filter(|(_, report)| report.order == order);
-        let published = reports.map(|(name, report)| (name.clone(), report.block));
-        let mut block = EvidenceBlock::default();
-        for (name, report) in published.chain([(own_name, row.local_evidence)]) {
-            let counted = evidence.counted_blocks.insert(name, report).unwrap_or_default();
-            block.from.add(&evidence_increase(&report.from, &counted.from));
-            block.to.add(&evidence_increase(&report.to, &counted.to));
-        }
-        if block != EvidenceBlock::default() {
-            evidence.tests.record_block(&block);
-            evidence.total.add(&block);
-        }
+        evidence.count(&self.node.settings.name, row.local_evidence, &row.reports);
         evidence
     }
 }
 
-impl OrderEvidence {
-    fn new(order: ids::KvRevision) -> Self {
-        let tests = RolloutTests::new(TOLERATED_RATE_RISE, TOLERATED_RATE_RISE);
-        Self { order, tests, counted_blocks: HashMap::new(), total: EvidenceBlock::default() }
-    }
-
-    /// Whether the sequential tests or the direct comparison find the new version bad.
-    fn is_bad(&self) -> bool {
-        let failure_rate = |version: &VersionEvidence| {
-            bad_answers(version) as f64 / version.requests.max(1) as f64
-        };
-        let has_enough_answers = self.total.to.requests >= MIN_COMPARED_ANSWERS;
-        let is_worse =
-            failure_rate(&self.total.to) - failure_rate(&self.total.from) > MAX_RATE_DIFFERENCE;
-        self.tests.first_alarm().is_some() || (has_enough_answers && is_worse)
-    }
-}
-
 /// Applies a record of the rollouts that was written to the store.
 pub fn apply_record(node: &RelayNode, entry: &KvEntry) {
     let now = Instant::now();
@@ -422,24 +377,6 @@
     (BASE_REPORT_INTERVAL * factor).min(MAX_REPORT_INTERVAL)
 }
 
-/// Answers that count as failures. An answer may be both an error and slow, so the larger counter
-/// is used.
-fn bad_answers(evidence: &VersionEvidence) -> u64 {
-    evidence.errors.max(evidence.slow)
-}
-
-/// Increase of the counters since the last count. The first, lower counters of a restarted instance
-/// add nothing; later increases of them count.
-fn evidence_increase(new: &VersionEvidence, counted: &VersionEvidence) -> VersionEvidence {
-    VersionEvidence {
-        requests: new.requests.saturating_sub(counted.requests),
-        errors: new.errors.saturating_sub(counted.errors),
-        rated: new.rated.saturating_sub(counted.rated),
-        rated_bad: new.rated_bad.saturating_sub(counted.rated_bad),
-        slow: new.slow.saturating_sub(counted.slow),
-    }
-}
-
 fn encode(record: &impl serde::Serialize) -> Result<Bytes, KvError> {
     let text = serde_json::to_vec(record).map_err(|error| KvError::Refused(error.to_string()))?;
     Ok(Bytes::from(text))
--- a/tests/relay_rollout.rs
+++ b/tests/relay_rollout.rs
@@ -1,9 +1,11 @@
 //! Phases, versions and evidence of rollouts that operators order with a time limit.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
 use yuccareel::ids;
+use yuccareel::relay::order_evidence::OrderEvidence;
 use yuccareel::relay::rollout_plan::{RolloutPhase, RolloutProgress, next_phase, runs_on_target};
 use yuccareel::relay::rollout_table::{EvidenceRecord, RolloutRecord, RolloutTable};
 use yuccareel::relay::store_codec::RolloutOrder;
@@ -249,3 +251,36 @@
         assert_eq!(row.reports["instance"].block.to.requests, case.requests, "{}", case.name);
     }
 }
+
+/// Guards against a holder that counts its own answers again at each tick while an older report of
+/// its own is in the store, as after it has taken the lease from another instance.
+#[test]
+fn holders_count_their_own_answers_once() {
+    struct CountCase {
+        name: &'static str,
+        /// Answers in the report of each instance in the store.
+        reports: Vec<(&'static str, u64)>,
+        /// Answers of the holder `i-0` by its own memory.
+        own_answers: u64,
+        total: u64,
+    }
+    let cases = [
+        CountCase { name: "no reports", reports: vec![], own_answers: 7, total: 7 },
+        CountCase { name: "older own report", reports: vec![("i-0", 4)], own_answers: 7, total: 7 },
+        CountCase {
+            name: "others and an older own report",
+            reports: vec![("i-0", 4), ("i-1", 5), ("i-2", 1)],
+            own_answers: 7,
+            total: 13,
+        },
+    ];
+    for CountCase { name, reports, own_answers, total } in cases {
+        let reports = reports.into_iter().map(|(name, answers)| (name.into(), report(1, answers)));
+        let reports: HashMap<ids::InstanceName, EvidenceRecord> = reports.collect();
+        let mut evidence = OrderEvidence::new(5);
+        for _ in 0..20 {
+            evidence.count(&"i-0".into(), report(1, own_answers).block, &reports);
+        }
+        assert_eq!(evidence.total().to.requests, total, "{name}");
+    }
+}
