Judge the pace of streams on a new version while they run

Cause: an answer was evidence only when it was complete, and slow only by the time to its head. The answers of a slow version do not end before the rollout does, so the holder knew 0 to 2 of them and completed it. The class of fault is evidence that is missing just where the fault is.

A stream is now judged when its first event is overdue, at its fourth event or at its end, against the usual pace of the other versions; and all calls go to a new version only after 20 answers, or late in the time limit.

--- a/src/relay/attempt_flow.rs
+++ b/src/relay/attempt_flow.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
+use super::answer_pace::AnswerPace;
 use super::attempt_budget::RepeatCause;
 use super::call_codec::{AnswerMetadata, AttemptMetadata};
 use super::call_failure::CallFailure;
@@ -89,18 +90,32 @@
         progress.possible_runs += 1;
         progress.attempt_events = 0;
         let sent_at = Instant::now();
-        let sending = self.send(job, progress, &entry, &mut connection);
-        let abandonment = self.wait_for_abandonment(job, progress, &entry);
-        let answer = tokio::select! {
-            biased;
-            answer = sending => Some(answer),
-            () = abandonment => None,
+        progress.pace = AnswerPace::start(sent_at);
+        let late_at = sent_at + self.pace_limits(job, progress).time_to_first_event;
+        let mut is_late = false;
+        let answer = {
+            let sending = self.send(job, progress, &entry, &mut connection);
+            let abandonment = self.wait_for_abandonment(job, progress, &entry);
+            tokio::pin!(sending, abandonment);
+            loop {
+                tokio::select! {
+                    biased;
+                    answer = &mut sending => break Some(answer),
+                    () = &mut abandonment => break None,
+                    () = tokio::time::sleep_until(late_at), if !is_late => is_late = true,
+                }
+                self.record_late_answer(job, progress);
+            }
         };
+        if is_late && job.route.kind == CallKind::Stream {
+            progress.pace.set_late();
+        }
         progress.is_next_attempt_budgeted = answer.is_none();
         let (head, is_fully_sent, metadata) = match answer.unwrap_or(Err(MessageError::TimedOut)) {
             Ok(answer) => answer,
             Err(error) => {
-                let reason = self.record_incomplete_answer(job, &entry, &error, sent_at.elapsed());
+                let reason =
+                    self.record_incomplete_answer(job, progress, &entry, &error, sent_at.elapsed());
                 return Ok(AttemptEnd::Failed(reason));
             }
         };
@@ -109,7 +124,7 @@
         self.record_metadata(&entry, &metadata);
         if let Some(cause) = metadata.rejection_cause(&head) {
             let error = MessageError::Malformed(cause);
-            self.record_incomplete_answer(job, &entry, &error, waited);
+            self.record_incomplete_answer(job, progress, &entry, &error, waited);
             return Ok(AttemptEnd::Failed(RetryReason::BackendError));
         }
         progress.time_to_first_byte = Some(job.received.elapsed());
@@ -120,6 +135,8 @@
                 larger_model_index.filter(|_| self.take_repeat(job, RepeatCause::Escalation))
             {
                 progress.is_next_attempt_budgeted = true;
+                progress.pace.record_event(Instant::now());
+                self.record_evidence(job, progress, &entry, false, waited);
                 return Ok(AttemptEnd::Escalate(model_index));
             }
             let end = self
@@ -128,21 +145,21 @@
                 .map_err(CallFailure::CallerGone)?;
             return Ok(match end {
                 StreamEnd::Complete => {
-                    self.record_complete_answer(job, &entry, false, waited);
+                    self.record_complete_answer(job, progress, &entry, false, waited);
                     if is_fully_sent && head.is_keep_alive {
                         self.return_connection(connection, &head);
                     }
                     AttemptEnd::Streamed
                 }
-                StreamEnd::Truncated(error) => {
-                    AttemptEnd::Failed(self.record_incomplete_answer(job, &entry, &error, waited))
-                }
+                StreamEnd::Truncated(error) => AttemptEnd::Failed(
+                    self.record_incomplete_answer(job, progress, &entry, &error, waited),
+                ),
             });
         }
         let body = match connection.read_body(&head, MAX_ANSWER_BYTES).await {
             Ok(body) => body,
             Err(error) => {
-                let reason = self.record_incomplete_answer(job, &entry, &error, waited);
+                let reason = self.record_incomplete_answer(job, progress, &entry, &error, waited);
                 return Ok(if metadata.proves_not_run {
                     AttemptEnd::NotRun(reason)
                 } else {
@@ -163,7 +180,7 @@
         if metadata.proves_not_run {
             return Ok(AttemptEnd::NotRun(RetryReason::BackendBusy));
         }
-        self.record_complete_answer(job, &entry, head.status >= 500, waited);
+        self.record_complete_answer(job, progress, &entry, head.status >= 500, waited);
         Ok(AttemptEnd::Complete(head, body))
     }
 
--- a/src/relay/attempt_outcome.rs
+++ b/src/relay/attempt_outcome.rs
@@ -6,7 +6,9 @@
 use tokio::time::Instant;
 
 use super::call_codec::AnswerMetadata;
-use super::call_job::CallJob;
+use super::call_job::{CallJob, CallProgress};
+use super::pace_baseline::{PaceLimits, PaceObjective};
+use super::relay_config::CallKind;
 use super::relay_node::RelayNode;
 use super::replica_entry::ReplicaEntry;
 use super::replica_health::HealthOutcome;
@@ -35,6 +37,7 @@
     pub(super) fn record_incomplete_answer(
         &self,
         job: &CallJob,
+        progress: &CallProgress,
         entry: &ReplicaEntry,
         error: &MessageError,
         waited: Duration,
@@ -44,7 +47,7 @@
             _ => (HealthOutcome::Cut, RetryReason::StreamTruncated),
         };
         self.record_health(entry, outcome, Some(error));
-        self.record_evidence(job, entry, true, waited);
+        self.record_evidence(job, progress, entry, true, waited);
         reason
     }
 
@@ -52,26 +55,71 @@
     pub(super) fn record_complete_answer(
         &self,
         job: &CallJob,
+        progress: &CallProgress,
         entry: &ReplicaEntry,
         has_failed: bool,
         waited: Duration,
     ) {
         let outcome = if has_failed { HealthOutcome::Failure } else { HealthOutcome::Good };
         self.record_health(entry, outcome, None);
-        self.record_evidence(job, entry, has_failed, waited);
+        self.record_evidence(job, progress, entry, has_failed, waited);
     }
 
-    /// Adds an attempt to the evidence on the replica's version; `waited` is the time from sending
-    /// the call to the head of the answer, or to the failure.
-    fn record_evidence(
+    /// Adds an ended attempt to the evidence on the replica's version; `waited` is the time from
+    /// sending the call to the head of the answer, or to the failure.
+    pub(super) fn record_evidence(
         &self,
         job: &CallJob,
+        progress: &CallProgress,
         entry: &ReplicaEntry,
         has_failed: bool,
         waited: Duration,
     ) {
-        let is_slow = waited >= job.route.latency_objective / SLOW_OBJECTIVE_DIVISOR;
-        self.rollouts.lock().record_answer(&job.service, &entry.version, has_failed, is_slow);
+        let (service, version) = (&job.service, &entry.version);
+        let mut rollouts = self.rollouts.lock();
+        if job.route.kind != CallKind::Stream {
+            let is_slow = waited >= job.route.latency_objective / SLOW_OBJECTIVE_DIVISOR;
+            return rollouts.record_answer(service, version, has_failed, is_slow);
+        }
+        let limits = rollouts.pace_limits(service, progress.model_index, &pace_objective(job));
+        let is_slow = progress.pace.is_slow(&limits) && counts_as_slow(progress);
+        match progress.pace.judgement() {
+            None => rollouts.record_answer(service, version, has_failed, is_slow),
+            Some(was_slow) => {
+                let turned_slow = is_slow && !was_slow;
+                rollouts.record_later_failure(service, version, has_failed, turned_slow);
+            }
+        }
+        if !has_failed {
+            rollouts.record_pace(service, version, progress.model_index, &progress.pace);
+        }
+    }
+
+    /// Adds a stream to the evidence as soon as its pace is known.
+    pub(super) fn judge_pace(&self, job: &CallJob, progress: &mut CallProgress) {
+        let Some(choice) = &progress.last_choice else { return };
+        let version = choice.entry.version.clone();
+        let mut rollouts = self.rollouts.lock();
+        let limits = rollouts.pace_limits(&job.service, progress.model_index, &pace_objective(job));
+        if let Some(is_slow) = progress.pace.judge(&limits) {
+            let is_slow = is_slow && counts_as_slow(progress);
+            rollouts.record_answer(&job.service, &version, false, is_slow);
+        }
+    }
+
+    /// Adds a stream without an answer yet to the evidence as a slow one.
+    pub(super) fn record_late_answer(&self, job: &CallJob, progress: &CallProgress) {
+        let choice = progress.last_choice.as_ref();
+        let Some(choice) = choice.filter(|_| job.route.kind == CallKind::Stream) else { return };
+        let is_slow = counts_as_slow(progress);
+        let version = &choice.entry.version;
+        self.rollouts.lock().record_answer(&job.service, version, false, is_slow);
+    }
+
+    /// Times from which the answer to the next attempt is slow.
+    pub(super) fn pace_limits(&self, job: &CallJob, progress: &CallProgress) -> PaceLimits {
+        let rollouts = self.rollouts.lock();
+        rollouts.pace_limits(&job.service, progress.model_index, &pace_objective(job))
     }
 
     /// Records the outcome in the health of the replica and logs if the replica is now avoided.
@@ -93,3 +141,14 @@
         }
     }
 }
+
+fn pace_objective(job: &CallJob) -> PaceObjective {
+    let time_to_first_event = job.route.latency_objective;
+    let event_interval = job.route.max_event_gap.unwrap_or(time_to_first_event);
+    PaceObjective { time_to_first_event, event_interval }
+}
+
+/// Whether a slow answer is held against the version: cold replicas are slow in any version.
+fn counts_as_slow(progress: &CallProgress) -> bool {
+    progress.last_choice.as_ref().is_none_or(|choice| !choice.is_cold)
+}
--- a/src/relay/call_job.rs
+++ b/src/relay/call_job.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3;
 
+use super::answer_pace::AnswerPace;
 use super::call_request::CallRequest;
 use super::relay_config::{CustomerRow, RouteRow};
 use super::replica_choice::ReplicaChoice;
@@ -92,6 +93,8 @@
     pub written_events: u64,
     /// Number of events that the replica of the last attempt has sent.
     pub attempt_events: u64,
+    /// Pace of the answer to the last attempt.
+    pub pace: AnswerPace,
     /// Whether a replica has begun to answer the prompt without a crash.
     pub has_begun: bool,
     /// Replicas that crashed before they had begun to answer.
--- a/src/relay/crash_flow.rs
+++ b/src/relay/crash_flow.rs
@@ -85,6 +85,8 @@
     /// Counts an event of the current attempt.
     pub(super) fn record_event(&self, job: &CallJob, progress: &mut CallProgress) {
         progress.attempt_events += 1;
+        progress.pace.record_event(Instant::now());
+        self.judge_pace(job, progress);
         if progress.attempt_events >= MIN_SOUND_EVENTS {
             self.record_begun_answer(job, progress);
         }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,12 +6,13 @@
 //!
 //! Decisions are made in modules without I/O: `attempt_budget`, `cold_budget`, `cascade_plan`,
 //! `replica_score`, `load_prior`, `prefill_average`, `mirror_scope`, `poll_interval`,
-//! `retry_backoff`, `rollout_plan`, `event_splitter`, `part_history`, `suspect_table` and most of `shared_feed`. The
+//! `retry_backoff`, `rollout_plan`, `event_splitter`, `part_history`, `suspect_table`, `answer_pace`, `pace_baseline` and most of `shared_feed`. The
 //! modules that do I/O call them: `caller_server`, `discovery_server`, `call_flow`, `load_probe`,
 //! `store_mirror`, `member_registry`, `suspect_writer` and `rollout_controller`. An adapter implements the traits in
 //! `call_codec` and `store_codec`. No other module contains names that a platform uses on the wire.
 
 mod accept_loop;
+pub mod answer_pace;
 pub mod attempt_budget;
 mod attempt_flow;
 mod attempt_outcome;
@@ -39,6 +40,7 @@
 pub mod member_registry;
 pub mod mirror_scope;
 pub mod order_evidence;
+pub mod pace_baseline;
 pub mod part_history;
 pub mod poll_interval;
 pub mod prefill_average;
--- a/src/relay/rollout_plan.rs
+++ b/src/relay/rollout_plan.rs
@@ -22,10 +22,15 @@
 const FORCED_LOAD_START_FRACTION: f64 = 0.57;
 /// Earliest start of the full phase, as a fraction of the time limit.
 const FULL_START_FRACTION: f64 = 0.66;
+/// Start of the full phase even with too few answers, as a fraction of the time limit.
+const FORCED_FULL_START_FRACTION: f64 = 0.74;
 /// Earliest completion, as a fraction of the time limit.
 const COMPLETION_FRACTION: f64 = 0.82;
 /// Answers of the new version that end the trial phase at `LOAD_START_FRACTION`.
 const MIN_TRIAL_ANSWERS: u64 = 6;
+/// Answers of the new version that end the load phase at `FULL_START_FRACTION`. The tests of the
+/// evidence find a version that answers several times slower after about as many.
+const MIN_LOAD_ANSWERS: u64 = 20;
 /// Shortest full phase. Replicas of the old version may stop after it, so streams on them must have
 /// time to end.
 pub const MIN_FULL_DURATION: Duration = Duration::from_millis(2_000);
@@ -101,7 +106,9 @@
         RolloutPhase::Trial if has_reached(FORCED_LOAD_START_FRACTION) => Some(RolloutPhase::Load),
         RolloutPhase::Load
             if has_reached(FULL_START_FRACTION)
-                && progress.phase_elapsed >= MIN_FULL_DURATION / 2 =>
+                && progress.phase_elapsed >= MIN_FULL_DURATION / 2
+                && (progress.target_answers >= MIN_LOAD_ANSWERS
+                    || has_reached(FORCED_FULL_START_FRACTION)) =>
         {
             Some(RolloutPhase::Full)
         }
--- a/src/relay/rollout_table.rs
+++ b/src/relay/rollout_table.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use super::answer_pace::AnswerPace;
+use super::pace_baseline::{PaceBaseline, PaceLimits, PaceObjective};
 use super::rollout_plan::{self, RolloutPhase};
 use super::store_codec::RolloutOrder;
 use super::version_rule::VersionRule;
@@ -113,6 +115,8 @@
 #[derive(Debug, Default)]
 pub struct RolloutTable {
     rows: HashMap<ids::ServiceName, RolloutRow>,
+    /// Usual pace of streams by service and index of the model.
+    baselines: HashMap<(ids::ServiceName, usize), PaceBaseline>,
     /// Holder of the rollout lease, with the revision at which it acquired the lease.
     pub lease_holder: Option<(ids::InstanceName, ids::KvRevision)>,
 }
@@ -185,15 +189,53 @@
 
     /// Counts an answer as evidence while a rollout of its service is open.
     pub fn record_answer(&mut self, service: &str, version: &str, error: bool, slow: bool) {
-        let Some(row) = self.rows.get_mut(service) else { return };
-        if !row.is_open() {
-            return;
+        if let Some(evidence) = self.evidence_mut(service, version) {
+            evidence.record_answer(error, None, slow);
         }
+    }
+
+    /// Evidence on a version while a rollout of its service is open.
+    fn evidence_mut(&mut self, service: &str, version: &str) -> Option<&mut VersionEvidence> {
+        let row = self.rows.get_mut(service).filter(|row| row.is_open())?;
         let is_target =
             row.observed_order.as_ref().is_some_and(|observed| *observed.order.target == *version);
-        let evidence =
-            if is_target { &mut row.local_evidence.to } else { &mut row.local_evidence.from };
-        evidence.record_answer(error, None, slow);
+        Some(if is_target { &mut row.local_evidence.to } else { &mut row.local_evidence.from })
+    }
+
+    /// Adds what a later part of an answer showed that was counted before.
+    pub fn record_later_failure(&mut self, service: &str, version: &str, error: bool, slow: bool) {
+        if let Some(evidence) = self.evidence_mut(service, version) {
+            evidence.errors += u64::from(error);
+            evidence.slow += u64::from(slow);
+        }
+    }
+
+    /// Adds a complete stream to the usual pace of its service, unless a rollout is judging its
+    /// version.
+    pub fn record_pace(
+        &mut self,
+        service: &ids::ServiceName,
+        version: &str,
+        model_index: usize,
+        pace: &AnswerPace,
+    ) {
+        let is_judged = self.rows.get(service).is_some_and(|row| {
+            row.observed_order.as_ref().is_some_and(|observed| *observed.order.target == *version)
+        });
+        let Some(time) = pace.time_to_first_event().filter(|_| !is_judged) else { return };
+        let baseline = self.baselines.entry((service.clone(), model_index)).or_default();
+        baseline.record(time, pace.event_interval());
+    }
+
+    /// Times from which an answer of a service and model is slow.
+    pub fn pace_limits(
+        &self,
+        service: &ids::ServiceName,
+        model_index: usize,
+        objective: &PaceObjective,
+    ) -> PaceLimits {
+        let baseline = self.baselines.get(&(service.clone(), model_index)).copied();
+        baseline.unwrap_or_default().limits(objective)
     }
 
     /// Versions on which a call may run. Without a session, `call` decides instead.
--- a/tests/relay_rollout.rs
+++ b/tests/relay_rollout.rs
@@ -284,3 +284,23 @@
         assert_eq!(evidence.total().to.requests, total, "{name}");
     }
 }
+
+/// Guards against sending all calls to a new version of which hardly any answer is known.
+#[test]
+fn few_answers_delay_the_full_phase() {
+    struct AnswerCase {
+        answers: u64,
+        full_start: f64,
+    }
+    let cases = [
+        AnswerCase { answers: 19, full_start: 0.74 },
+        AnswerCase { answers: 20, full_start: 0.66 },
+    ];
+    for AnswerCase { answers, full_start } in cases {
+        let duration = Duration::from_secs(60);
+        let starts = phase_starts(duration, |progress| progress.target_answers = answers);
+        let (phase, start) = starts[1];
+        assert_eq!(phase, RolloutPhase::Full, "{answers} answers: {starts:?}");
+        assert!((full_start..full_start + 0.01).contains(&start), "{answers} answers: {starts:?}");
+    }
+}
