Obey what replicas say of their willingness in their answers

A replica that left said so only in its answers while the store still listed it as ready, and got requests until its end; one that refused requests with a time to return got them all the same. Cause: an answer changed nothing of a replica but its load, cold time and health.

The statements are now part of the state of a replica, by process: one that leaves gets no request, one that asks for a pause none until its end, then one at a time. All choices pass this check, the last one after the connection is open. If all replicas pause, callers are refused at once with the earliest end.

Not covered: the daemon's own engines and services, and the status command.

--- a/src/event_catalogue.rs
+++ b/src/event_catalogue.rs
@@ -62,6 +62,8 @@
     ReplicaDraining = 341 Info "replica_draining" "replica is draining and gets no new requests";
     ReplicaRemoved = 342 Info "replica_removed" "replica entry was removed from the list";
     LoadUnknown = 343 Debug "load_unknown" "load probe failed; the last known load is used";
+    ReplicaSetAside = 344 Warning "replica_set_aside" "replica stated that it leaves or wants no requests for a time; requests go to others";
+    ReplicaResumed = 345 Info "replica_resumed" "replica served a request after the pause that it had asked for";
     KvFailed = 401 Warning "kv_failed" "request to the key-value service failed";
     StoreLost = 402 Warning "store_lost" "store is unreachable; cached data stays in use";
     StoreReturned = 403 Info "store_returned" "store is reachable again";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -116,6 +116,7 @@
 pub mod renewable_client;
 pub mod replica_subset;
 pub mod replica_table;
+pub mod retry_after;
 pub mod retry_budget;
 pub mod retry_reason;
 pub mod rollout_evidence;
--- a/src/relay/attempt_flow.rs
+++ b/src/relay/attempt_flow.rs
@@ -86,6 +86,11 @@
                 return Ok(AttemptEnd::Unreachable);
             }
         };
+        // An answer on another connection may have set the replica aside meanwhile.
+        if !self.fleet.lock().is_willing(&entry.name) {
+            self.connection_pool.lock().put(connection);
+            return Ok(AttemptEnd::Unreachable);
+        }
         progress.sent_attempts += 1;
         progress.possible_runs += 1;
         progress.attempt_events = 0;
@@ -122,6 +127,9 @@
         let waited = sent_at.elapsed();
         guard.record_first_byte();
         self.record_metadata(&entry, &metadata);
+        if head.is_success() {
+            self.record_served(&entry, sent_at);
+        }
         if let Some(cause) = metadata.rejection_cause(&head) {
             let error = MessageError::Malformed(cause);
             self.record_incomplete_answer(job, progress, &entry, &error, waited);
--- a/src/relay/attempt_outcome.rs
+++ b/src/relay/attempt_outcome.rs
@@ -12,8 +12,10 @@
 use super::relay_node::RelayNode;
 use super::replica_entry::ReplicaEntry;
 use super::replica_health::HealthOutcome;
+use super::replica_notice::NoticeChange;
 use crate::event_catalogue::LogEvent;
 use crate::http1::message_error::MessageError;
+use crate::ids;
 use crate::retry_reason::RetryReason;
 
 /// Divisor of the latency objective that gives the time from which an answer counts as slow in the
@@ -21,9 +23,16 @@
 const SLOW_OBJECTIVE_DIVISOR: u32 = 3;
 
 impl RelayNode {
-    /// Records the load and the cold time that the replica reported.
+    /// Records what the replica reported of itself: load, cold time and willingness.
     pub(super) fn record_metadata(&self, entry: &ReplicaEntry, metadata: &AnswerMetadata) {
         let now = Instant::now();
+        // An answer that names another replica says nothing of this one.
+        let is_own = !metadata.is_misdirected
+            && metadata.replica.as_ref().is_none_or(|name| *name == entry.name.as_bytes());
+        if is_own {
+            let change = self.fleet.lock().record_notice(entry, metadata.notice, now);
+            self.log_notice(&entry.name, change);
+        }
         let mut fleet = self.fleet.lock();
         if let Some(load) = metadata.load {
             fleet.record_load(&entry.name, load, now);
@@ -33,6 +42,36 @@
         }
     }
 
+    /// Logs a replica that is set aside by its own answer, or that is used again.
+    fn log_notice(&self, replica: &ids::ReplicaName, change: Option<NoticeChange>) {
+        let Some(change) = change else { return };
+        let replica = replica.to_string();
+        let (source, event, fields) = match change {
+            NoticeChange::Leaving => {
+                ("leaving", LogEvent::ReplicaSetAside, slog::o!("end_ms" => None::<u64>))
+            }
+            NoticeChange::Paused(duration) => {
+                let end_ms = Some(duration.as_millis() as u64);
+                ("retry_after", LogEvent::ReplicaSetAside, slog::o!("end_ms" => end_ms))
+            }
+            NoticeChange::Resumed(age) => {
+                let age_ms = Some(age.as_millis() as u64);
+                ("retry_after", LogEvent::ReplicaResumed, slog::o!("age_ms" => age_ms))
+            }
+        };
+        if event == LogEvent::ReplicaSetAside {
+            metrics::counter!("yuccareel_replicas_set_aside_total", "source" => source)
+                .increment(1);
+        }
+        self.emit(event, slog::o!("replica" => replica, "source" => source, fields));
+    }
+
+    /// Records that a replica served a request, which ends a pause.
+    pub(super) fn record_served(&self, entry: &ReplicaEntry, sent_at: Instant) {
+        let change = self.fleet.lock().record_served(&entry.name, sent_at, Instant::now());
+        self.log_notice(&entry.name, change);
+    }
+
     /// Records an attempt without a valid, complete answer and returns the reason for a retry.
     pub(super) fn record_incomplete_answer(
         &self,
--- a/src/relay/call_codec.rs
+++ b/src/relay/call_codec.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 
 use super::call_request::CallRequest;
+use super::replica_notice::AnswerNotice;
 use crate::http1::request_head::RequestHead;
 use crate::http1::response_head::ResponseHead;
 use crate::ids;
@@ -56,6 +57,10 @@
     pub confidence: Option<u8>,
     /// Time until the replica is warm.
     pub cold_left: Option<Duration>,
+    /// Name of the replica, if the answer states it.
+    pub replica: Option<Bytes>,
+    /// What the replica says of its willingness to take requests.
+    pub notice: AnswerNotice,
 }
 
 impl AnswerMetadata {
--- a/src/relay/call_failure.rs
+++ b/src/relay/call_failure.rs
@@ -19,6 +19,9 @@
 /// about once per second.
 pub(super) const UNAVAILABLE_RETRY_S: f64 = 1.0;
 
+/// Part of a pause of all replicas over which callers return after its end.
+const PAUSE_SPREAD: f64 = 0.3;
+
 /// Failure that ends a call.
 #[derive(Debug)]
 pub(super) enum CallFailure {
@@ -43,11 +46,28 @@
         ChoiceRefusal::Cold(wait) => {
             (RefusalReason::ColdStart, "all replicas are cold", wait.as_secs_f64())
         }
+        ChoiceRefusal::Paused(wait) => {
+            return refused_after_pause(progress, wait);
+        }
         ChoiceRefusal::Full => (RefusalReason::Overloaded, "all replicas are full", BUSY_RETRY_S),
     };
     refused_by_run_state(progress, reason, message, retry_after)
 }
 
+/// Failure of a call whose replicas have all asked for a pause. Callers return after the first of
+/// them ends, spread over some time, and not before.
+fn refused_after_pause(progress: &CallProgress, wait: Duration) -> CallFailure {
+    let spread = rand::rng().random_range(0.0..BUSY_RETRY_S + wait.as_secs_f64() * PAUSE_SPREAD);
+    let message = "all replicas have asked for a pause";
+    let refusal = refused_by_run_state(progress, RefusalReason::Overloaded, message, 0.0);
+    match refusal {
+        CallFailure::Refused(refusal, Some(_)) => {
+            CallFailure::Refused(refusal, Some(wait.as_secs_f64() + spread))
+        }
+        other => other,
+    }
+}
+
 /// Failure of a call that gets no further attempt.
 pub(super) fn attempts_exhausted(progress: &CallProgress, message: &'static str) -> CallFailure {
     refused_by_run_state(progress, RefusalReason::Overloaded, message, BUSY_RETRY_S)
--- a/src/relay/replica_choice.rs
+++ b/src/relay/replica_choice.rs
@@ -31,6 +31,8 @@
     Cold(Duration),
     /// No matching replica has a free slot.
     Full,
+    /// All matching replicas have asked for a pause, of which the first ends after the duration.
+    Paused(Duration),
 }
 
 /// Call for which a replica is chosen.
--- a/src/relay/replica_fleet.rs
+++ b/src/relay/replica_fleet.rs
@@ -14,10 +14,12 @@
 
 use super::call_codec::ReplicaLoad;
 use super::expiring_table::ExpiringTable;
+use super::leaving_replicas::LeavingReplicas;
 use super::prefill_average::PrefillAverage;
 use super::replica_choice::{ChoiceContext, ChoiceRefusal, ChoiceRequest, ReplicaChoice};
 use super::replica_entry::{EntryState, ReplicaEntry};
 use super::replica_health::HealthOutcome;
+use super::replica_notice::{AnswerNotice, NoticeChange, ReplicaNotice};
 use super::replica_row::ReplicaRow;
 use super::replica_score;
 use super::version_rule::VersionRule;
@@ -56,6 +58,8 @@
     rows: ExpiringTable<ReplicaRow>,
     evacuated_data_centres: HashSet<ids::DataCentreName>,
     prefill_average: PrefillAverage,
+    /// Replicas that stated that they leave. Their entries may be deleted and written again.
+    leaving_replicas: LeavingReplicas,
 }
 
 impl Default for ReplicaFleet {
@@ -64,6 +68,7 @@
             rows: ExpiringTable::new(EXPIRY_GRACE),
             evacuated_data_centres: HashSet::new(),
             prefill_average: PrefillAverage::default(),
+            leaving_replicas: LeavingReplicas::default(),
         }
     }
 }
@@ -81,7 +86,11 @@
         let is_draining = entry.state == EntryState::Draining;
         let Some(row) = self.rows.renew(&entry.name) else {
             let name = entry.name.clone();
-            self.rows.insert(name, ReplicaRow::new(entry, now, cold_until));
+            let mut row = ReplicaRow::new(entry, now, cold_until);
+            if self.leaving_replicas.contains(&row.entry) {
+                row.notice = ReplicaNotice::leaving();
+            }
+            self.rows.insert(name, row);
             return EntryChange::Started;
         };
         let has_restarted = row.entry.started_unix_ms != entry.started_unix_ms;
@@ -234,7 +243,7 @@
     ) -> Result<(ids::ReplicaName, usize), ChoiceRefusal> {
         let candidates = self.candidates(request, context);
         if candidates.is_empty() {
-            return Err(ChoiceRefusal::NoReplica);
+            return Err(self.refusal_without_candidates(request, context));
         }
         let is_full = match self.best_warm_replicas(&candidates, request, context, 1) {
             Ok(best) => return Ok((best[0].entry.name.clone(), candidates.len())),
@@ -245,6 +254,57 @@
         cold.map(|name| (name, candidates.len()))
     }
 
+    /// Why no replica may run a call: there is none, or all have asked for a pause.
+    fn refusal_without_candidates(
+        &self,
+        request: &ChoiceRequest<'_>,
+        context: &ChoiceContext<'_>,
+    ) -> ChoiceRefusal {
+        let matching = self.rows.values().filter(|row| self.matches(row, request, context));
+        match matching.filter_map(|row| row.notice.time_left(context.now)).min() {
+            Some(time) if time.is_zero() => ChoiceRefusal::Full,
+            Some(time) => ChoiceRefusal::Paused(time),
+            None => ChoiceRefusal::NoReplica,
+        }
+    }
+
+    /// Applies the notice of an answer, unless another process of the replica gave it; returns what
+    /// it changed.
+    pub fn record_notice(
+        &mut self,
+        entry: &ReplicaEntry,
+        notice: AnswerNotice,
+        now: Instant,
+    ) -> Option<NoticeChange> {
+        if notice == AnswerNotice::default() {
+            return None;
+        }
+        if notice.is_leaving {
+            self.leaving_replicas.insert(entry);
+        }
+        let row = self.rows.get_mut(&entry.name)?;
+        if row.entry.started_unix_ms != entry.started_unix_ms {
+            return None;
+        }
+        row.notice.apply(notice, now)
+    }
+
+    /// Records that a replica served a request that was sent at `sent_at`; returns whether that
+    /// ended a pause.
+    pub fn record_served(
+        &mut self,
+        name: &str,
+        sent_at: Instant,
+        now: Instant,
+    ) -> Option<NoticeChange> {
+        self.rows.get_mut(name)?.notice.record_served(sent_at, now)
+    }
+
+    /// Whether the replica's own answers allow the request that has been counted for it.
+    pub fn is_willing(&self, name: &str) -> bool {
+        self.rows.get(name).is_none_or(|row| !row.notice.is_leaving())
+    }
+
     /// Subtracts the prefill cost of a call, which ends with the first byte of the answer.
     pub fn record_first_byte(&mut self, name: &str, prefill_cost: f64) {
         if let Some(row) = self.rows.get_mut(name) {
@@ -314,6 +374,16 @@
         row: &ReplicaRow,
         request: &ChoiceRequest<'_>,
         context: &ChoiceContext<'_>,
+    ) -> bool {
+        row.notice.allows(row.in_flight, context.now) && self.matches(row, request, context)
+    }
+
+    /// Whether the replica could run the call, apart from what its own answers say.
+    fn matches(
+        &self,
+        row: &ReplicaRow,
+        request: &ChoiceRequest<'_>,
+        context: &ChoiceContext<'_>,
     ) -> bool {
         let region = context.regions.get(&row.entry.data_centre);
         let is_allowed_region = |regions: &[Arc<str>]| {
--- a/src/relay/replica_row.rs
+++ b/src/relay/replica_row.rs
@@ -12,6 +12,7 @@
 use super::replica_choice::ChoiceRequest;
 use super::replica_entry::ReplicaEntry;
 use super::replica_health::ReplicaHealth;
+use super::replica_notice::ReplicaNotice;
 use crate::rendezvous;
 
 /// Age below which a load is not probed again: a replica's own report can be as old.
@@ -43,6 +44,8 @@
     /// Calls that this instance has sent since that report.
     pub(super) sent_since_load: u32,
     pub(super) health: ReplicaHealth,
+    /// What the replica's own answers say of its willingness.
+    pub(super) notice: ReplicaNotice,
     pub(super) cold_spacing: cold_budget::ColdSpacing,
     /// Keys of the prompt prefixes that this instance has sent, with the time of the last use.
     pub(super) cached_prefixes: HashMap<u64, Instant>,
@@ -63,6 +66,7 @@
             reported_load: None,
             sent_since_load: 0,
             health: ReplicaHealth::default(),
+            notice: ReplicaNotice::default(),
             cold_spacing: cold_budget::ColdSpacing::default(),
             cached_prefixes: HashMap::new(),
             last_activity: None,
@@ -148,6 +152,7 @@
         self.sent_since_load += 1;
         self.pending_prefill_cost += prefill_cost;
         self.health.record_send(now);
+        self.notice.record_send(now);
         if is_cold {
             self.cold_spacing.record_send(now);
         }
--- a/tests/replica_fleet.rs
+++ b/tests/replica_fleet.rs
@@ -12,6 +12,7 @@
 use yuccareel::relay::replica_entry::{EntryState, ReplicaEntry};
 use yuccareel::relay::replica_fleet::EntryChange;
 use yuccareel::relay::replica_health::HealthOutcome;
+use yuccareel::relay::replica_notice::AnswerNotice;
 use yuccareel::relay::version_rule::VersionRule;
 
 /// Guards against calls to a replica that is draining, gone, in a data centre out of use, of
@@ -220,3 +221,58 @@
         assert_eq!(choice, Ok(false), "{stated:?}");
     }
 }
+
+/// Guards against a notice that marks another process of the replica, and against one that is
+/// forgotten because the store loses and regains the entry of the same process.
+#[test]
+fn notices_belong_to_one_process_of_a_replica() {
+    struct ProcessCase {
+        name: &'static str,
+        /// Start of the process that gave the answer, and of the one that is listed then.
+        answered_start: u64,
+        listed_start: u64,
+        /// Whether the entry is deleted before it is listed again.
+        is_deleted: bool,
+        is_used: bool,
+    }
+    let case = |name, answered_start, listed_start, is_deleted, is_used| ProcessCase {
+        name,
+        answered_start,
+        listed_start,
+        is_deleted,
+        is_used,
+    };
+    let cases = [
+        case("same process", 1, 1, false, false),
+        case("same process, entry written again", 1, 1, true, false),
+        case("restarted since", 1, 2, false, true),
+        case("restarted since, entry written again", 1, 2, true, true),
+        case("late answer of an earlier process", 0, 1, false, true),
+    ];
+    for ProcessCase { name, answered_start, listed_start, is_deleted, is_used } in cases {
+        let process = |start| ReplicaEntry { started_unix_ms: Some(start), ..entry("r") };
+        let mut harness = FleetHarness::new(&[process(1)]);
+        let notice = AnswerNotice { is_leaving: true, pause: None };
+        harness.fleet.record_notice(&process(answered_start), notice, harness.now);
+        if is_deleted {
+            harness.fleet.expire_entry("r", harness.now);
+        }
+        harness.fleet.apply_entry(process(listed_start), harness.now);
+        let choice = harness.choose_call(&CallRequirements::default());
+        assert_eq!(choice.is_ok(), is_used, "{name}: {choice:?}");
+    }
+}
+
+/// Guards against calls that wait, or are told to return too early, while all replicas pause.
+#[test]
+fn a_pause_of_all_replicas_is_refused_with_its_earliest_end() {
+    let mut harness = FleetHarness::new(&[entry("a"), entry("b")]);
+    for (name, pause_ms) in [("a", 3_000), ("b", 2_000)] {
+        let notice = AnswerNotice { is_leaving: false, pause: Some(ms(pause_ms)) };
+        harness.fleet.record_notice(&entry(name), notice, harness.now);
+    }
+    let choice = harness.choose_call(&CallRequirements::default());
+    assert_eq!(choice.unwrap_err(), ChoiceRefusal::Paused(ms(2_000)));
+    harness.now += ms(2_000);
+    assert_eq!(&*harness.choose_call(&CallRequirements::default()).unwrap(), "b");
+}
