Set engines aside that ask for a pause

On the own interface, too, an engine that refused a request with a time to return got the next one at once: the client did not read the header. The pause is now part of the refusal as the client reads it, and the choice of replicas leaves the engine out until it ends.

--- a/src/engine_client.rs
+++ b/src/engine_client.rs
@@ -6,14 +6,15 @@
 
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use eventsource_stream::Eventsource as _;
 use futures::{Stream, StreamExt as _};
+use reqwest::header::RETRY_AFTER;
 use serde::Deserialize;
 
-use crate::{error_body, ids, replica_table, retry_reason};
+use crate::{error_body, ids, replica_table, retry_after, retry_reason};
 
 /// Time for the response head. An engine sends it on admission, before the first
 /// token, so that a connection gone silent is noticed long before a slow prompt ends.
@@ -74,17 +75,21 @@
     pub reason: retry_reason::RetryReason,
     /// Whether the engine may have run the request.
     pub ran: error_body::RunState,
+    /// Time for which the engine wants no requests.
+    pub pause: Option<Duration>,
     /// Message for logs.
     pub message: String,
 }
 
 impl AttemptError {
     fn not_run(reason: retry_reason::RetryReason, message: impl ToString) -> Self {
-        Self { reason, ran: error_body::RunState::No, message: message.to_string() }
+        let message = message.to_string();
+        Self { reason, ran: error_body::RunState::No, pause: None, message }
     }
 
     fn unknown(reason: retry_reason::RetryReason, message: impl ToString) -> Self {
-        Self { reason, ran: error_body::RunState::Unknown, message: message.to_string() }
+        let message = message.to_string();
+        Self { reason, ran: error_body::RunState::Unknown, pause: None, message }
     }
 }
 
@@ -274,11 +279,15 @@
         _ => Reason::BackendError,
     };
     let proved = response.headers().get("x-ran").is_some_and(|value| value == "no");
-    if proved {
-        Err(AttemptError::not_run(reason, status))
+    let error = if proved {
+        AttemptError::not_run(reason, status)
     } else {
-        Err(AttemptError::unknown(reason, status))
-    }
+        AttemptError::unknown(reason, status)
+    };
+    let pause = response.headers().get(RETRY_AFTER).filter(|_| status.as_u16() == 503);
+    let pause = pause.and_then(|value| value.to_str().ok());
+    let pause = pause.and_then(|value| retry_after::parse(value, SystemTime::now()));
+    Err(AttemptError { pause, ..error })
 }
 
 type EventStream = Pin<
--- a/src/node_replicas.rs
+++ b/src/node_replicas.rs
@@ -304,6 +304,16 @@
     ) {
         metrics::counter!("yuccareel_attempts_failed_total", "reason" => error.reason.code())
             .increment(1);
+        if let Some(pause) = error.pause {
+            dispatch.row.pause(pause, self.clock());
+            metrics::counter!("yuccareel_replicas_set_aside_total", "source" => "retry_after")
+                .increment(1);
+            let fields = slog::o!(
+                "replica" => dispatch.row.name.to_string(), "source" => "retry_after",
+                "end_ms" => pause.as_millis() as u64,
+            );
+            self.emit(LogEvent::ReplicaSetAside, fields);
+        }
         match error.reason {
             retry_reason::RetryReason::BackendCold => {
                 self.report_warmup_signal(&dispatch.row.name, cold_start::WarmupSignal::Refused);
--- a/src/replica_table.rs
+++ b/src/replica_table.rs
@@ -35,6 +35,9 @@
     /// Node clock in milliseconds at which another server answered at the address; 0 if none did.
     /// The replica gets no requests until the instance list is read again.
     pub reassigned_at_ms: Arc<AtomicU64>,
+    /// Node clock in milliseconds until which the replica wants no requests of this node, as it said
+    /// in a refusal.
+    pub paused_until_ms: Arc<AtomicU64>,
     /// Whether the engine refuses orders that carry an old fencing token.
     pub checks_fencing: bool,
     /// `None` before the first load report.
@@ -56,6 +59,17 @@
         self.reassigned_at_ms.swap(now_ms, Ordering::Relaxed) == 0
     }
 
+    /// Whether the replica has asked for a pause that has not ended.
+    pub fn is_paused(&self, now: Duration) -> bool {
+        now < Duration::from_millis(self.paused_until_ms.load(Ordering::Relaxed))
+    }
+
+    /// Sends no requests for the duration. A pause never ends sooner than was asked before.
+    pub fn pause(&self, duration: Duration, now: Duration) {
+        let until_ms = u64::try_from((now + duration).as_millis()).unwrap_or(u64::MAX);
+        self.paused_until_ms.fetch_max(until_ms, Ordering::Relaxed);
+    }
+
     /// Allows requests again if the list was read after the other server had answered.
     pub fn clear_reassigned(&self, list_read_at: Duration) {
         let reassigned_at = Duration::from_millis(self.reassigned_at_ms.load(Ordering::Relaxed));
@@ -168,6 +182,7 @@
         pool,
         is_leaving: listed.state == instance_list::InstanceState::Leaving,
         reassigned_at_ms: known.map(|row| Arc::clone(&row.reassigned_at_ms)).unwrap_or_default(),
+        paused_until_ms: known.map(|row| Arc::clone(&row.paused_until_ms)).unwrap_or_default(),
         checks_fencing,
         report: known.and_then(|row| row.report.clone()),
         in_flight: known.map(|row| Arc::clone(&row.in_flight)).unwrap_or_default(),
--- a/src/route_decision.rs
+++ b/src/route_decision.rs
@@ -225,7 +225,7 @@
         self.untried += 1;
         let limit = replica_limit(tables.shares, row, bounds, tables.node_count, now);
         self.cold += usize::from(limit.is_cold);
-        if own_in_flight(row) >= limit.in_flight_limit {
+        if row.is_paused(now) || own_in_flight(row) >= limit.in_flight_limit {
             return None;
         }
         self.usable += 1;
--- a/tests/route_decision.rs
+++ b/tests/route_decision.rs
@@ -145,6 +145,18 @@
             |s| s.pool = ReplicaPool::Service("stock".into()),
             Some(Reason::NoReplica),
         ),
+        case("paused", |s| s.set_rows(|row| row.pause(ms(5), NOW)), Some(Reason::Overloaded)),
+        case("pause has ended", |s| s.set_rows(|row| row.pause(ms(5), NOW - ms(5))), None),
+        case(
+            "longer pause before a shorter one",
+            |s| {
+                s.set_rows(|row| {
+                    row.pause(ms(5_000), NOW);
+                    row.pause(ms(1), NOW - ms(100));
+                });
+            },
+            Some(Reason::Overloaded),
+        ),
         case("leaving", |s| s.set_rows(|row| row.is_leaving = true), Some(Reason::NoReplica)),
         case("one drained", |s| s.snapshot.put(data_centre("near", true, &[])), None),
         case(
