--- a/src/relay/replica_fleet.rs
+++ b/src/relay/replica_fleet.rs
@@ -375,7 +375,7 @@
         request: &ChoiceRequest<'_>,
         context: &ChoiceContext<'_>,
     ) -> bool {
-        row.notice.allows(row.in_flight, context.now) && self.matches(row, request, context)
+        self.matches(row, request, context) && row.notice.allows(row.in_flight, context.now)
     }
 
     /// Whether the replica could run the call, apart from what its own answers say.
--- a/src/relay/replica_notice.rs
+++ b/src/relay/replica_notice.rs
@@ -29,11 +29,11 @@
     Resumed(Duration),
 }
 
-/// Notices of one process of a replica.
-#[derive(Clone, Copy, Debug, Default)]
+/// Notices of one process of a replica. Small, as each choice reads those of all replicas.
+#[derive(Clone, Debug, Default)]
 pub struct ReplicaNotice {
     is_leaving: bool,
-    pause: Option<ReplicaPause>,
+    pause: Option<Box<ReplicaPause>>,
 }
 
 impl ReplicaNotice {
@@ -48,10 +48,11 @@
         self.is_leaving |= notice.is_leaving;
         let mut change = None;
         if let Some(duration) = notice.pause {
-            let was_paused = self.pause.is_some_and(|pause| !pause.time_left(now).is_zero());
+            let was_paused =
+                self.pause.as_ref().is_some_and(|pause| !pause.time_left(now).is_zero());
             match &mut self.pause {
                 Some(pause) => pause.extend(duration, now),
-                None => self.pause = Some(ReplicaPause::new(duration, now)),
+                None => self.pause = Some(Box::new(ReplicaPause::new(duration, now))),
             }
             change = (!was_paused).then_some(NoticeChange::Paused(duration));
         }
@@ -60,7 +61,7 @@
 
     /// Whether a request may be sent now, given those in flight.
     pub fn allows(&self, in_flight: u32, now: Instant) -> bool {
-        !self.is_leaving && self.pause.is_none_or(|pause| pause.allows(in_flight, now))
+        !self.is_leaving && self.pause.as_ref().is_none_or(|pause| pause.allows(in_flight, now))
     }
 
     /// Counts a request that is about to be sent.
@@ -88,6 +89,7 @@
 
     /// Time until a paused replica may get a request; `None` if it leaves or has no pause.
     pub fn time_left(&self, now: Instant) -> Option<Duration> {
-        self.pause.filter(|_| !self.is_leaving).map(|pause| pause.time_left(now))
+        let pause = self.pause.as_ref().filter(|_| !self.is_leaving)?;
+        Some(pause.time_left(now))
     }
 }
