Stop requests that crash replicas when their callers repeat them

Cause: crashes were counted by the shared parts of prompts only. A caller repeats a request under a new identifier, mostly at another instance, where the count started anew. Requests without a prompt had no part at all.

Change: the last part of a prompt is blamed too, and a request without a prompt counts as one part, by method, host, target and body. Such parts are not kept as sound, so that they do not displace parts in wide use.

--- a/src/relay/call_failure.rs
+++ b/src/relay/call_failure.rs
@@ -81,7 +81,7 @@
     time_to_trial: Duration,
 ) -> CallFailure {
     let reason = RefusalReason::PromptQuarantined;
-    let message = format!("replicas crash under part {part:x} of the prompt");
+    let message = format!("replicas crash under part {part:x} of the request");
     refused_by_run_state(
         progress,
         reason,
--- a/src/relay/call_job.rs
+++ b/src/relay/call_job.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3;
 
 use super::answer_pace::AnswerPace;
-use super::call_request::CallRequest;
+use super::call_request::{CallRequest, PromptPart};
 use super::relay_config::{CustomerRow, RouteRow};
 use super::replica_choice::ReplicaChoice;
 use crate::http1::request_head::RequestHead;
@@ -36,6 +36,9 @@
     pub cold_rate_per_s: f64,
     /// Time per token of each model of the route, as a fraction of the largest model's.
     pub model_weights: SmallVec<[f64; 4]>,
+    /// Parts to which a crash of its replica is attributed; the last one belongs to this request
+    /// alone.
+    pub crash_parts: SmallVec<[PromptPart; 4]>,
     /// Version of the configuration that routed the call.
     pub config_version: u64,
     /// Time at which the head arrived.
@@ -50,6 +53,30 @@
         xxh3::xxh3_64(call.id.as_deref().unwrap_or_default())
     }
 
+    /// Parts to which a crash of a replica under the call is attributed: those of its prompt, or the
+    /// request as a whole if it has none. A caller that retries sends the same parts again.
+    pub fn crash_parts(
+        call: &CallRequest,
+        head: &RequestHead,
+        body: &Bytes,
+    ) -> SmallVec<[PromptPart; 4]> {
+        if !call.prompt_parts.is_empty() {
+            return call.prompt_parts.clone();
+        }
+        let mut hasher = xxh3::Xxh3::new();
+        for field in [&head.method[..], call.host.as_bytes(), &head.target, body] {
+            // The lengths keep equal bytes in different fields apart.
+            hasher.update(&field.len().to_le_bytes());
+            hasher.update(field);
+        }
+        SmallVec::from_iter([PromptPart { id: hasher.digest(), tokens: 0 }])
+    }
+
+    /// Crash parts that other requests may share: all but the last.
+    pub fn shared_crash_parts(&self) -> &[PromptPart] {
+        self.crash_parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Priority to send to the replica: the customer's or else the route's.
     pub fn priority(&self) -> u8 {
         let customer = self.customer.as_ref().and_then(|customer| customer.priority);
--- a/src/relay/call_log.rs
+++ b/src/relay/call_log.rs
@@ -86,10 +86,9 @@
     }
 }
 
-/// Shared parts of the prompt as hexadecimal identifiers; `None` without any.
+/// Parts to which a crash is attributed, as hexadecimal identifiers; `None` without any.
 pub(super) fn parts_text(job: &CallJob) -> Option<String> {
-    let parts: Vec<_> =
-        job.call.shared_parts().iter().map(|part| format!("{:x}", part.id)).collect();
+    let parts: Vec<_> = job.crash_parts.iter().map(|part| format!("{:x}", part.id)).collect();
     (!parts.is_empty()).then(|| parts.join(","))
 }
 
--- a/src/relay/call_routing.rs
+++ b/src/relay/call_routing.rs
@@ -77,6 +77,7 @@
             service_row.zip(largest).map_or(1.0, |(row, largest)| row.model_weight(model, largest))
         };
         Ok(CallJob {
+            crash_parts: CallJob::crash_parts(&call, &head, &body),
             model_weights: route.models.iter().map(weight).collect(),
             head,
             body,
--- a/src/relay/crash_flow.rs
+++ b/src/relay/crash_flow.rs
@@ -1,5 +1,5 @@
 //! Finds out whether a replica crashed when an attempt was cut off before its answer had begun, and
-//! keeps prompts under which replicas crash from further replicas.
+//! keeps requests under which replicas crash from further replicas.
 //!
 //! A connection may also be closed for other reasons, such as an idle timeout or a limit on
 //! connections. A replica whose process has ended refuses new connections as well.
@@ -45,7 +45,7 @@
         if progress.has_begun || progress.is_trial {
             return Ok(());
         }
-        let verdict = self.suspects.lock().verdict(job.call.shared_parts(), Instant::now());
+        let verdict = self.suspects.lock().verdict(&job.crash_parts, Instant::now());
         let part = match verdict {
             PromptVerdict::Allowed => return Ok(()),
             PromptVerdict::Refused(part, time) => {
@@ -74,11 +74,16 @@
 
     /// Records that the replica of the current attempt answers the prompt without a crash.
     pub(super) fn record_begun_answer(&self, job: &CallJob, progress: &mut CallProgress) {
-        let parts = job.call.shared_parts();
-        if std::mem::replace(&mut progress.has_begun, true) || parts.is_empty() {
+        if std::mem::replace(&mut progress.has_begun, true) {
             return;
         }
-        self.suspects.lock().record_sound(parts, Instant::now());
+        {
+            let (mut suspects, now) = (self.suspects.lock(), Instant::now());
+            suspects.record_sound(job.shared_crash_parts(), now);
+            if let Some(part) = job.crash_parts.last() {
+                suspects.clear_part(part.id, now);
+            }
+        }
         suspect_writer::log_quarantine_changes(self);
     }
 
@@ -92,8 +97,7 @@
         }
     }
 
-    /// Checks after an attempt on a prompt with shared parts whether its replica crashed before the
-    /// answer had begun.
+    /// Checks after an attempt whether its replica crashed before the answer had begun.
     ///
     /// # Errors
     /// When the call must not be sent again, as replicas may crash under it.
@@ -111,8 +115,7 @@
             _ => {}
         }
         let is_cut = matches!(end, AttemptEnd::Failed(RetryReason::StreamTruncated));
-        let parts = job.call.shared_parts();
-        if !is_cut || progress.attempt_events >= MIN_SOUND_EVENTS || parts.is_empty() {
+        if !is_cut || progress.attempt_events >= MIN_SOUND_EVENTS {
             return Ok(());
         }
         let Some(choice) = &progress.last_choice else { return Ok(()) };
@@ -128,7 +131,7 @@
         self.emit(LogEvent::ReplicaCrashed, fields);
         let process =
             CrashedProcess { replica: entry.name.clone(), started_unix_ms: entry.started_unix_ms };
-        let blamed = self.suspects.lock().record_crash(parts, &process, Instant::now());
+        let blamed = self.suspects.lock().record_crash(&job.crash_parts, &process, Instant::now());
         if blamed.is_empty() {
             return Ok(());
         }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -67,6 +67,7 @@
 pub mod store_paths;
 pub mod store_tunnel;
 pub mod stream_flow;
+pub mod suspect_budget;
 pub mod suspect_record;
 pub mod suspect_table;
 mod suspect_writer;
--- a/src/relay/suspect_table.rs
+++ b/src/relay/suspect_table.rs
@@ -1,9 +1,11 @@
 //! Decides which prompts are refused because replicas crash under one of their parts.
 //!
 //! One part of a prompt may crash each replica that begins to answer it, whatever else the prompt
-//! holds. Requests with that part may come to any instance, so the instances share the crashes of
-//! each part through the store. A part with several crashes and no sound answer is quarantined:
-//! prompts with it are refused, except for single trials after growing intervals.
+//! holds. The last part belongs to one request, which its caller may send again under another
+//! identifier; a request without a prompt counts as a single part. Requests with the part may come
+//! to any instance, so the instances share the crashes of each part through the store. A part with
+//! several crashes and no sound answer is quarantined: prompts with it are refused, except for
+//! single trials after growing intervals.
 //!
 //! Other parts come into question too: those of requests that waited at a crashed replica, and
 //! those that always stand beside the deadly part. A sound answer clears a part at once. A part is
@@ -62,6 +64,8 @@
     pub revision: ids::KvRevision,
     /// New record; `None` deletes it.
     pub record: Option<SuspectRecord>,
+    /// Whether the part was at one crash only, as is any request that waited at the replica.
+    pub is_single_crash: bool,
 }
 
 #[derive(Debug, Default)]
@@ -148,19 +152,23 @@
     pub fn record_sound(&mut self, parts: &[PromptPart], now: Instant) {
         for part in parts {
             self.history.record_sound(part.id, now);
-            let Some(row) = self.rows.get_mut(&part.id).filter(|row| !row.is_sound) else {
-                continue;
-            };
-            row.is_sound = true;
-            row.unwritten_crashes.clear();
-            let max_delay =
-                if row.quarantined_since.is_some() { MAX_RELEASE_DELAY } else { MAX_SOUND_DELAY };
-            row.write_at = Some(now + random_part_of(max_delay));
-            let is_stored = row.revision != 0;
-            self.update_quarantine(part.id, now);
-            if !is_stored {
-                self.rows.remove(&part.id);
-            }
+            self.clear_part(part.id, now);
+        }
+    }
+
+    /// Clears a part after a sound answer without keeping it as sound for later crashes, as for the
+    /// part of a single request: the history has no space for all of them.
+    pub fn clear_part(&mut self, part: ids::PromptPartId, now: Instant) {
+        let Some(row) = self.rows.get_mut(&part).filter(|row| !row.is_sound) else { return };
+        row.is_sound = true;
+        row.unwritten_crashes.clear();
+        let max_delay =
+            if row.quarantined_since.is_some() { MAX_RELEASE_DELAY } else { MAX_SOUND_DELAY };
+        row.write_at = Some(now + random_part_of(max_delay));
+        let is_stored = row.revision != 0;
+        self.update_quarantine(part, now);
+        if !is_stored {
+            self.rows.remove(&part);
         }
     }
 
@@ -225,6 +233,7 @@
         let changes = due.map(|(part, row)| SuspectChange {
             part: *part,
             revision: row.revision,
+            is_single_crash: row.record.crashes.len() < 2,
             record: (!row.is_sound).then(|| SuspectRecord {
                 was_sound: row.record.was_sound || row.is_objected,
                 ..row.record.clone()
@@ -259,7 +268,8 @@
         let row = self.rows.get(&part).filter(|_| self.is_quarantined(part))?;
         let mut record = row.record.clone();
         record.trials += 1;
-        Some(SuspectChange { part, revision: row.revision, record: Some(record) })
+        let revision = row.revision;
+        Some(SuspectChange { part, revision, record: Some(record), is_single_crash: false })
     }
 
     /// Delays the next claim of a trial, as another instance took it or the store did not answer.
--- a/src/relay/suspect_writer.rs
+++ b/src/relay/suspect_writer.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::relay_node::RelayNode;
+use super::suspect_budget::SuspectBudget;
 use super::suspect_record::SuspectRecord;
 use super::suspect_table::{QuarantineChange, SuspectChange};
 use crate::event_catalogue::LogEvent;
@@ -41,12 +42,18 @@
 /// Writes changes to the store until the process ends.
 pub async fn run(node: Arc<RelayNode>) {
     let mut lease = None;
+    let mut budget = SuspectBudget::default();
     loop {
         // Bounded, as sound answers and objections are written after a delay.
         let _ =
             tokio::time::timeout(DELAYED_CHANGE_INTERVAL, node.suspects_changed.notified()).await;
-        let changes = node.suspects.lock().due_changes(Instant::now());
+        let mut changes = node.suspects.lock().due_changes(Instant::now());
+        changes.sort_by_key(|change| change.is_single_crash);
+        let members = node.member_names().len();
         for change in changes {
+            if change.is_single_crash && !budget.take(members, Instant::now()) {
+                break;
+            }
             if let Err(error) = write_change(&node, &change, &mut lease).await {
                 let fields = slog::o!("call" => "suspect", "error" => error.to_string());
                 node.emit(LogEvent::KvFailed, fields);
--- a/tests/suspect_table.rs
+++ b/tests/suspect_table.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 use yuccareel::ids;
 use yuccareel::relay::call_request::PromptPart;
+use yuccareel::relay::suspect_budget::SuspectBudget;
 use yuccareel::relay::suspect_record::{CrashedProcess, SuspectRecord};
 use yuccareel::relay::suspect_table::{PromptVerdict, SuspectTable};
 
@@ -372,3 +373,45 @@
     assert!(late_deadly <= 3, "{late_deadly} requests after the bound");
     assert!(sound_allowed * 2 >= sound_sent, "{sound_allowed} of {sound_sent} sound requests");
 }
+
+/// Guards against a mass crash for another reason whose suspects use up the calls to the store, and
+/// against an instance of a large fleet that can share none.
+#[test]
+fn suspects_of_one_crash_are_shared_within_a_budget() {
+    struct BudgetCase {
+        members: usize,
+        at_once: usize,
+        after_20_s: usize,
+    }
+    let cases = [
+        BudgetCase { members: 0, at_once: 200, after_20_s: 200 },
+        BudgetCase { members: 10, at_once: 20, after_20_s: 20 },
+        BudgetCase { members: 1_300, at_once: 1, after_20_s: 1 },
+    ];
+    let start = Instant::now();
+    for case in cases {
+        let mut budget = SuspectBudget::default();
+        let mut writes = |at| (0..1_000).filter(|_| budget.take(case.members, start + at)).count();
+        assert_eq!(writes(Duration::ZERO), case.at_once, "{} members", case.members);
+        assert_eq!(writes(Duration::from_secs(20)), case.after_20_s, "{} members", case.members);
+    }
+}
+
+/// Guards against parts of single requests that displace the parts in wide use from the history, and
+/// against a suspect that a sound answer does not clear.
+#[test]
+fn cleared_parts_take_no_space_in_the_history() {
+    let now = Instant::now();
+    let mut table = SuspectTable::default();
+    for part in 0..10_000 {
+        table.clear_part(0x1_0000 + part, now);
+    }
+    table.record_sound(&prompt(&[FIRST]), now);
+    for replica in 1..=3 {
+        table.record_crash(&prompt(&[FIRST, OTHER]), &process(replica), now);
+    }
+    assert_eq!(table.verdict(&prompt(&[FIRST]), now), PromptVerdict::Allowed);
+    assert!(matches!(table.verdict(&prompt(&[OTHER]), now), PromptVerdict::Refused(..)));
+    table.clear_part(OTHER, now);
+    assert_eq!(table.verdict(&prompt(&[OTHER]), now), PromptVerdict::Allowed);
+}
