Weigh refusals as misdirected by what is known of the replica

Cause: each 421 was taken for the answer of another server at a reassigned address, and its replica was removed until its entry changed. Replicas answer 421 for an unknown model too, and one request removed up to four of them.

Evidence: event 511 now states request, model, address and the time since the replica last answered.

Change: a call that names a model which its route does not lead to is refused at once with 421 (model_not_on_route). A 421 of a replica that answered another request within the delay after which addresses are used again (setting reuseAfterS) is held against the request. Otherwise the replica is doubted for 1 s, doubling up to 30 s, and used last. It is never removed, so no number of such requests takes a service out of use; an answer or a written entry ends the doubt.

--- a/src/event_catalogue.rs
+++ b/src/event_catalogue.rs
@@ -75,9 +75,10 @@
     RequestRelayed = 503 Info "request_relayed" "request answered by a replica";
     ModelSteppedUp = 504 Debug "model_stepped_up" "low-confidence answer discarded; escalating to a larger model";
     ReplicaCold = 510 Info "replica_cold" "replica turned cold";
-    ReplicaForeign = 511 Warning "replica_foreign" "another server answers at the replica's address; replica is excluded until the list is read again";
+    ReplicaForeign = 511 Warning "replica_foreign" "a server refused a request as misdirected; another one may have the replica's address, which is used last for a time";
     ReplicaAvoided = 512 Warning "replica_avoided" "replica is failing or unresponsive; requests go to other replicas";
     ReplicaCrashed = 513 Warning "replica_crashed" "replica closed a connection before the answer had begun and now refuses connections";
+    RequestMisdirected = 514 Info "request_misdirected" "replica refused a request as misdirected although it answers others; the caller gets the refusal";
     PartQuarantined = 520 Error "part_quarantined" "replicas crash under a part of prompts; requests with it are refused";
     PartReleased = 521 Info "part_released" "requests with a quarantined part of prompts are sent again";
     PartTried = 522 Info "part_tried" "request sent as the trial of a quarantined part of its prompt";
--- a/src/refusal_reason.rs
+++ b/src/refusal_reason.rs
@@ -21,6 +21,8 @@
     RouteUnknown,
     /// No record exists for the model.
     ModelUnknown,
+    /// The route does not lead to the model that the caller names.
+    ModelNotOnRoute,
     /// The customer may not use the model or version.
     ModelNotAllowed,
     /// All allowed versions are withdrawn.
@@ -63,7 +65,7 @@
 
 impl RefusalReason {
     /// Every reason, for the API description.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 28] = [
         Self::TokenMissing,
         Self::TokenUnknown,
         Self::BodyInvalid,
@@ -72,6 +74,7 @@
         Self::CallerSlow,
         Self::RouteUnknown,
         Self::ModelUnknown,
+        Self::ModelNotOnRoute,
         Self::ModelNotAllowed,
         Self::VersionWithdrawn,
         Self::DataCentreDrained,
@@ -104,6 +107,7 @@
             Self::CallerSlow => "caller_slow",
             Self::RouteUnknown => "route_unknown",
             Self::ModelUnknown => "model_unknown",
+            Self::ModelNotOnRoute => "model_not_on_route",
             Self::ModelNotAllowed => "model_not_allowed",
             Self::VersionWithdrawn => "version_withdrawn",
             Self::DataCentreDrained => "data_centre_drained",
@@ -136,6 +140,7 @@
             Self::CallerSlow => 408,
             Self::RouteUnknown | Self::ModelUnknown => 404,
             Self::ModelNotAllowed => 403,
+            Self::ModelNotOnRoute => 421,
             Self::RateLimited | Self::ConcurrencyLimited | Self::SpendLimited => 429,
             Self::IdempotencyConflict => 422,
             Self::OutcomeUnknown => 409,
--- a/src/relay/attempt_flow.rs
+++ b/src/relay/attempt_flow.rs
@@ -21,6 +21,7 @@
 use super::relay_node::RelayNode;
 use super::replica_entry::ReplicaEntry;
 use super::replica_health::HealthOutcome;
+use super::replica_identity::MisdirectionCause;
 use super::stream_flow::StreamEnd;
 use crate::event_catalogue::LogEvent;
 use crate::http1::body_decoder::BodyFraming;
@@ -62,6 +63,8 @@
     Unreachable,
     /// Replica guarantees that it did not run the call.
     NotRun(RetryReason),
+    /// Replica refused the call as misdirected although it is the expected one.
+    Misdirected(ResponseHead, Bytes),
     /// Attempt failed and the replica may have run the call.
     Failed(RetryReason),
 }
@@ -137,6 +140,7 @@
         }
         progress.time_to_first_byte = Some(job.received.elapsed());
         if job.route.kind == CallKind::Stream && head.is_success() {
+            self.fleet.lock().confirm_identity(&entry.name, sent_at);
             progress.confidence = metadata.confidence;
             let larger_model_index = self.escalation_model_index(job, progress, &metadata);
             if let Some(model_index) =
@@ -179,12 +183,15 @@
             self.return_connection(connection, &head);
         }
         if metadata.is_misdirected {
-            self.connection_pool.lock().remove_address(entry.address);
-            if self.fleet.lock().remove_misdirected(&entry.name) {
-                self.emit(LogEvent::ReplicaForeign, slog::o!("replica" => entry.name.to_string()));
-            }
-            return Ok(AttemptEnd::NotRun(RetryReason::VersionNotServed));
+            return Ok(match self.record_misdirected(job, progress, &entry) {
+                // If the router chose the model, another replica may have it.
+                MisdirectionCause::Request if !job.chooses_model() => {
+                    AttemptEnd::Misdirected(head, body)
+                }
+                _ => AttemptEnd::NotRun(RetryReason::VersionNotServed),
+            });
         }
+        self.fleet.lock().confirm_identity(&entry.name, sent_at);
         if metadata.proves_not_run {
             return Ok(AttemptEnd::NotRun(RetryReason::BackendBusy));
         }
--- a/src/relay/attempt_outcome.rs
+++ b/src/relay/attempt_outcome.rs
@@ -12,6 +12,7 @@
 use super::relay_node::RelayNode;
 use super::replica_entry::ReplicaEntry;
 use super::replica_health::HealthOutcome;
+use super::replica_identity::MisdirectionCause;
 use super::replica_notice::NoticeChange;
 use crate::event_catalogue::LogEvent;
 use crate::http1::message_error::MessageError;
@@ -72,6 +73,47 @@
         self.log_notice(&entry.name, change);
     }
 
+    /// Records that a server refused a call as misdirected; returns the cause. If one replica proves
+    /// that the request is at fault, the doubts that it cast on others are withdrawn.
+    pub(super) fn record_misdirected(
+        &self,
+        job: &CallJob,
+        progress: &mut CallProgress,
+        entry: &ReplicaEntry,
+    ) -> MisdirectionCause {
+        let (reuse_delay, now) = (self.settings.bounds.address_reuse_delay, Instant::now());
+        let (cause, age) = {
+            let mut fleet = self.fleet.lock();
+            let (mut cause, age) = fleet.record_misdirected(&entry.name, reuse_delay, now);
+            if cause == MisdirectionCause::Address {
+                progress.doubted_replicas.push(entry.name.clone());
+            }
+            if progress.misdirected_answer.is_some() {
+                cause = MisdirectionCause::Request;
+            }
+            if cause == MisdirectionCause::Request {
+                fleet.withdraw_doubts(&std::mem::take(&mut progress.doubted_replicas));
+            }
+            (cause, age)
+        };
+        let event = match cause {
+            MisdirectionCause::Request => LogEvent::RequestMisdirected,
+            MisdirectionCause::Address => {
+                self.connection_pool.lock().remove_address(entry.address);
+                LogEvent::ReplicaForeign
+            }
+        };
+        let model =
+            job.call.model.as_deref().map(|model| String::from_utf8_lossy(model).into_owned());
+        let fields = slog::o!(
+            "request" => job.call.id_text(), "route" => job.route.name.to_string(),
+            "replica" => entry.name.to_string(), "address" => entry.address.to_string(),
+            "model" => model, "answered_ms" => age.map(|age| age.as_millis() as u64),
+        );
+        self.emit(event, fields);
+        cause
+    }
+
     /// Records an attempt without a valid, complete answer and returns the reason for a retry.
     pub(super) fn record_incomplete_answer(
         &self,
--- a/src/relay/call_flow.rs
+++ b/src/relay/call_flow.rs
@@ -158,7 +158,9 @@
             self.log_refusal(&truncation, &id, Some(job), progress);
             return Err(MessageError::Truncated);
         }
-        if let Some((head, body)) = progress.error_answer.take() {
+        let misdirected_answer =
+            progress.misdirected_answer.take().filter(|_| progress.possible_runs == 0);
+        if let Some((head, body)) = progress.error_answer.take().or(misdirected_answer) {
             writer.write_complete_answer(&head, &body).await?;
             self.log_answer(job, progress, &CallEnd::Answered(head.status));
             return Ok(());
@@ -222,6 +224,14 @@
                     progress.is_next_attempt_budgeted = true;
                     self.prepare_retry(job, progress, RetryReason::ConnectFailed);
                 }
+                AttemptEnd::Misdirected(head, body) => {
+                    progress.possible_runs -= 1;
+                    if progress.misdirected_answer.replace((head, body)).is_some() {
+                        let message = "two replicas refused the call as misdirected";
+                        return Err(call_failure::attempts_exhausted(progress, message));
+                    }
+                    self.prepare_retry(job, progress, RetryReason::VersionNotServed);
+                }
                 AttemptEnd::NotRun(reason) => {
                     progress.possible_runs -= 1;
                     if progress.sent_attempts >= MAX_SENT_ATTEMPTS {
--- a/src/relay/call_job.rs
+++ b/src/relay/call_job.rs
@@ -104,6 +104,8 @@
 pub struct CallProgress {
     /// Replicas excluded from the next choice.
     pub tried_replicas: SmallVec<[ids::ReplicaName; 4]>,
+    /// Replicas that refused the call as misdirected and are doubted for it.
+    pub doubted_replicas: SmallVec<[ids::ReplicaName; 4]>,
     /// Whether tried replicas may be chosen again if no other is left.
     pub may_retry_tried_replicas: bool,
     /// Attempts on an open connection, so that the replica may have received the call.
@@ -136,6 +138,8 @@
     pub is_next_attempt_budgeted: bool,
     /// Last 5xx answer of a replica, forwarded if no later attempt gives a better one.
     pub error_answer: Option<(ResponseHead, Bytes)>,
+    /// Refusal of a replica that answers other requests, forwarded if no replica runs the call.
+    pub misdirected_answer: Option<(ResponseHead, Bytes)>,
     /// Confidence that the last model reported.
     pub confidence: Option<u8>,
     /// Time from the arrival of the call to the head of the answer.
--- a/src/relay/call_routing.rs
+++ b/src/relay/call_routing.rs
@@ -54,6 +54,9 @@
             Ok(customer) => customer,
             Err(reason) => return refuse(reason, "the key belongs to no customer"),
         };
+        if !route.leads_to_model(&call) {
+            return refuse(RefusalReason::ModelNotOnRoute, "the route does not lead to the model");
+        }
         let held_bytes = self.buffered_body_bytes.load(Ordering::Relaxed) as u64;
         if held_bytes > self.settings.memory_bytes / BODY_MEMORY_DIVISOR {
             return refuse(RefusalReason::Overloaded, "bodies hold all of their memory");
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! Decisions are made in modules without I/O: `attempt_budget`, `cold_budget`, `cascade_plan`,
 //! `replica_score`, `load_prior`, `prefill_average`, `mirror_scope`, `poll_interval`,
-//! `retry_backoff`, `rollout_plan`, `event_splitter`, `part_history`, `replica_notice`, `replica_pause`, `suspect_table`, `answer_pace`, `pace_baseline` and most of `shared_feed`. The
+//! `retry_backoff`, `rollout_plan`, `event_splitter`, `part_history`, `replica_identity`, `replica_notice`, `replica_pause`, `suspect_table`, `answer_pace`, `pace_baseline` and most of `shared_feed`. The
 //! modules that do I/O call them: `caller_server`, `discovery_server`, `call_flow`, `load_probe`,
 //! `store_mirror`, `member_registry`, `suspect_writer` and `rollout_controller`. An adapter implements the traits in
 //! `call_codec` and `store_codec`. No other module contains names that a platform uses on the wire.
@@ -53,6 +53,7 @@
 pub mod replica_entry;
 pub mod replica_fleet;
 pub mod replica_health;
+pub mod replica_identity;
 pub mod replica_notice;
 pub mod replica_pause;
 mod replica_row;
--- a/src/relay/relay_config.rs
+++ b/src/relay/relay_config.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use smallvec::SmallVec;
 
+use super::call_request::CallRequest;
 use crate::ids;
 
 /// Whether calls of a route may run more than once.
@@ -73,6 +74,15 @@
         }
     }
 
+    /// Whether a call may name its model: any on a route that leaves the choice to callers, and
+    /// otherwise one of the route's.
+    pub fn leads_to_model(&self, call: &CallRequest) -> bool {
+        let Some(model) = call.model.as_deref().filter(|_| !call.accepts_any_model) else {
+            return true;
+        };
+        self.models.is_empty() || self.models.iter().any(|known| known.as_bytes() == model)
+    }
+
     /// Service for a call with this hash, in proportion to the weights. Equal hashes give the same
     /// service; `None` if all weights are zero.
     pub fn service_for_hash(&self, hash: u64) -> Option<&ids::ServiceName> {
--- a/src/relay/relay_settings.rs
+++ b/src/relay/relay_settings.rs
@@ -41,6 +41,8 @@
     pub max_directory_ttl: Duration,
     /// Time for which a replica still accepts calls after its entry was marked as leaving.
     pub replica_drain_grace: Duration,
+    /// Shortest time from the end of a replica to the use of its address by another one.
+    pub address_reuse_delay: Duration,
     /// Time within which a configuration must be in effect.
     pub config_apply: Duration,
 }
--- a/src/relay/replica_fleet.rs
+++ b/src/relay/replica_fleet.rs
@@ -19,6 +19,7 @@
 use super::replica_choice::{ChoiceContext, ChoiceRefusal, ChoiceRequest, ReplicaChoice};
 use super::replica_entry::{EntryState, ReplicaEntry};
 use super::replica_health::HealthOutcome;
+use super::replica_identity::{MisdirectionCause, ReplicaIdentity};
 use super::replica_notice::{AnswerNotice, NoticeChange, ReplicaNotice};
 use super::replica_row::ReplicaRow;
 use super::replica_score;
@@ -102,6 +103,7 @@
             return EntryChange::Started;
         }
         row.entry_read_at = now;
+        row.identity = ReplicaIdentity::default();
         row.cold_until = cold_until;
         row.suspected_cold_until = None;
         row.entry = Arc::new(entry);
@@ -211,15 +213,20 @@
     }
 
     /// Replicas that may run a call. Those with expired entries are included only if there are no
-    /// others.
+    /// others, and those whose identity is doubted only if nothing else is left.
     fn candidates(
         &self,
         request: &ChoiceRequest<'_>,
         context: &ChoiceContext<'_>,
     ) -> SmallVec<[&ReplicaRow; 32]> {
         let may_run = |row: &&ReplicaRow| self.may_run(row, request, context);
-        let current: SmallVec<_> = self.rows.current().filter(may_run).collect();
-        if current.is_empty() { self.rows.values().filter(may_run).collect() } else { current }
+        let is_known = |row: &&ReplicaRow| !row.identity.is_doubted(context.now) && may_run(row);
+        let current: SmallVec<_> = self.rows.current().filter(is_known).collect();
+        if !current.is_empty() {
+            return current;
+        }
+        let known: SmallVec<_> = self.rows.values().filter(is_known).collect();
+        if known.is_empty() { self.rows.values().filter(may_run).collect() } else { known }
     }
 
     fn best_warm_replicas<'a>(
@@ -357,9 +364,36 @@
         row.health.record_outcome(outcome, now)
     }
 
-    /// Removes a replica whose address now belongs to another one; returns whether it was known.
-    pub fn remove_misdirected(&mut self, name: &str) -> bool {
-        self.rows.remove(name)
+    /// Records that the replica itself answered a request that was sent at `sent_at`.
+    pub fn confirm_identity(&mut self, name: &str, sent_at: Instant) {
+        if let Some(row) = self.rows.get_mut(name) {
+            row.identity.confirm(sent_at);
+        }
+    }
+
+    /// Records that the server at a replica's address refused a request as misdirected; returns the
+    /// cause and the time since the replica last answered. `reuse_delay` is the shortest time from
+    /// the end of a replica to another use of its address.
+    pub fn record_misdirected(
+        &mut self,
+        name: &str,
+        reuse_delay: Duration,
+        now: Instant,
+    ) -> (MisdirectionCause, Option<Duration>) {
+        let Some(row) = self.rows.get_mut(name) else {
+            return (MisdirectionCause::Address, None);
+        };
+        let age = row.identity.confirmation_age(now);
+        (row.identity.record_refusal(row.last_activity, reuse_delay, now), age)
+    }
+
+    /// Withdraws the doubts that a request has cast on replicas, as the request was at fault.
+    pub fn withdraw_doubts(&mut self, names: &[ids::ReplicaName]) {
+        for name in names {
+            if let Some(row) = self.rows.get_mut(name) {
+                row.identity.withdraw_doubt();
+            }
+        }
     }
 
     /// Whether the replica runs the service and accepts calls.
--- a/src/relay/replica_row.rs
+++ b/src/relay/replica_row.rs
@@ -12,6 +12,7 @@
 use super::replica_choice::ChoiceRequest;
 use super::replica_entry::ReplicaEntry;
 use super::replica_health::ReplicaHealth;
+use super::replica_identity::ReplicaIdentity;
 use super::replica_notice::ReplicaNotice;
 use crate::rendezvous;
 
@@ -44,6 +45,8 @@
     /// Calls that this instance has sent since that report.
     pub(super) sent_since_load: u32,
     pub(super) health: ReplicaHealth,
+    /// Whether the server at the address is the replica.
+    pub(super) identity: ReplicaIdentity,
     /// What the replica's own answers say of its willingness.
     pub(super) notice: ReplicaNotice,
     pub(super) cold_spacing: cold_budget::ColdSpacing,
@@ -66,6 +69,7 @@
             reported_load: None,
             sent_since_load: 0,
             health: ReplicaHealth::default(),
+            identity: ReplicaIdentity::default(),
             notice: ReplicaNotice::default(),
             cold_spacing: cold_budget::ColdSpacing::default(),
             cached_prefixes: HashMap::new(),
--- a/tests/shared_feed.rs
+++ b/tests/shared_feed.rs
@@ -204,6 +204,7 @@
             cold_factor: 1.5,
             cold_slack: 5.0,
             stop_grace: Duration::from_secs(8),
+            address_reuse_delay: Duration::from_secs(2),
             max_directory_ttl: Duration::from_secs(5),
             replica_drain_grace: Duration::from_millis(drain_ms),
             config_apply: Duration::from_millis(config_ms),
