Accept only a continuation as the answer that resumes a stream

Cause: the answer that resumes a stream was judged by status and signature only. A signed 2xx with any body was appended and ended the stream in proper form.

Change: the answer must have the status and media type of the first one, its events must have ids (comments excepted), and it must not end within an event. Otherwise the attempt counts as cut off.

--- a/src/relay/call_job.rs
+++ b/src/relay/call_job.rs
@@ -118,6 +118,8 @@
     pub model_index: usize,
     /// Last event that was written to the caller.
     pub last_event_id: Option<u64>,
+    /// Status and media type of the stream that the caller receives.
+    pub stream_type: Option<(u16, Option<String>)>,
     /// Number of events written to the caller.
     pub written_events: u64,
     /// Number of events that the replica of the last attempt has sent.
--- a/src/relay/event_splitter.rs
+++ b/src/relay/event_splitter.rs
@@ -14,6 +14,14 @@
     pub text: Bytes,
 }
 
+impl StreamEvent {
+    /// Whether the event consists of comments, which carry no data and need no id.
+    pub fn is_comment(&self) -> bool {
+        let lines = self.text.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii_end);
+        lines.filter(|line| !line.is_empty()).all(|line| line.starts_with(b":"))
+    }
+}
+
 /// Splitter of one body, which arrives in pieces.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
--- a/src/relay/stream_flow.rs
+++ b/src/relay/stream_flow.rs
@@ -1,7 +1,8 @@
 //! Relays a stream of events from a replica to the caller.
 //!
 //! Events are forwarded one by one and their ids recorded, so that another replica can resume a
-//! truncated stream.
+//! truncated stream. What a replica sends to resume a stream is forwarded only if it continues it: an
+//! answer of the same type, in events with ids.
 
 use std::io;
 use std::sync::Arc;
@@ -49,6 +50,11 @@
         head: &ResponseHead,
         writer: &mut CallerWriter,
     ) -> io::Result<StreamEnd> {
+        let resumes = progress.stream_type.is_some();
+        if resumes && progress.stream_type != Some(stream_type(head)) {
+            let error = MessageError::Malformed("answer does not continue the stream");
+            return Ok(StreamEnd::Truncated(error));
+        }
         let mut decoder = BodyDecoder::new(head.framing);
         let mut splitter = EventSplitter::default();
         let mut silence_timeout = self.silence_timeout(job, progress);
@@ -78,6 +84,10 @@
             }
             guard.record_first_byte();
             while let Some(event) = splitter.next_event() {
+                if resumes && event.id.is_none() && !event.is_comment() {
+                    let error = MessageError::Malformed("event without id in a resumed stream");
+                    return Ok(StreamEnd::Truncated(error));
+                }
                 last_event_at = Instant::now();
                 let name = &guard.choice().entry.name;
                 self.fleet.lock().record_activity(name, last_event_at);
@@ -89,7 +99,7 @@
             }
         }
         let remainder = splitter.take_remainder();
-        if !remainder.is_empty() && decoder.is_close_delimited() {
+        if !remainder.is_empty() && (resumes || decoder.is_close_delimited()) {
             // Without a length or final chunk, only an incomplete event shows a truncated stream.
             return Ok(StreamEnd::Truncated(MessageError::Truncated));
         }
@@ -119,6 +129,7 @@
         return Ok(());
     }
     if writer.progress() == AnswerProgress::NotStarted {
+        progress.stream_type = Some(stream_type(head));
         writer.start_stream(head, &event.text).await?;
     } else if !event.text.is_empty() {
         writer.write_event(&event.text).await?;
@@ -128,3 +139,10 @@
     progress.written_events += 1;
     Ok(())
 }
+
+/// Status and media type, which the answers of one stream have in common.
+fn stream_type(head: &ResponseHead) -> (u16, Option<String>) {
+    let content_type = head.headers.get_text("content-type");
+    let media_type = content_type.and_then(|value| value.split(';').next());
+    (head.status, media_type.map(|value| value.trim().to_ascii_lowercase()))
+}
--- a/tests/event_splitter.rs
+++ b/tests/event_splitter.rs
@@ -40,3 +40,22 @@
     }
     assert_eq!(splitter.buffered_bytes(), 100_000);
 }
+
+/// Guards against a resumed stream that is given up for a comment, and against text of another
+/// answer that passes for one.
+#[test]
+fn events_without_data_are_comments() {
+    let cases = [
+        (": ping\n\n", true),
+        (":\r\n:\r\n\r\n", true),
+        ("data: : x\n\n", false),
+        (": ping\ndata: x\n\n", false),
+        ("HTTP/1.1 503 x\r\n\r\n", false),
+    ];
+    for (text, is_comment) in cases {
+        let mut splitter = EventSplitter::default();
+        splitter.push(text.as_bytes());
+        let event = splitter.next_event().unwrap();
+        assert_eq!(event.is_comment(), is_comment, "{text:?}");
+    }
+}
