Bound the bodies of answers over all calls

Callers saw (report of other operators): a replica sent bytes without end, the instance ran out of memory, and the requests of other clients ended.

Cause: the body of each answer was limited to 4 MB, the sum over calls was not.

Change: bodies that are being read share an eighth of the memory limit. A body of more than 64 KB that exceeds it is cut off; shorter ones are always read. Answers to other calls on a connection are discarded as they are read.

--- a/src/relay/attempt_flow.rs
+++ b/src/relay/attempt_flow.rs
@@ -35,8 +35,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Idle time after which a replica is assumed to close a connection if it states no limit.
 pub(super) const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Limit on the body of an answer that is not a stream.
-const MAX_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
 /// Answers to other calls that are skipped on a connection before the attempt fails.
 const MAX_SKIPPED_ANSWERS: u32 = 2;
 /// Multiple of a stream's latency objective within which the replica must send its first byte, or
@@ -168,7 +166,7 @@
                 ),
             });
         }
-        let body = match connection.read_body(&head, MAX_ANSWER_BYTES).await {
+        let body = match self.read_answer_body(&mut connection, &head).await {
             Ok(body) => body,
             Err(error) => {
                 let reason = self.record_incomplete_answer(job, progress, &entry, &error, waited);
@@ -251,7 +249,7 @@
                 "status" => head.status,
             );
             self.emit(LogEvent::AnswerMismatched, fields);
-            connection.read_body(&head, MAX_ANSWER_BYTES).await?;
+            self.skip_answer_body(connection, &head).await?;
             head = connection.read_next_head().await?;
         }
         Err(MessageError::Malformed("answers on the connection belong to other calls"))
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -12,6 +12,7 @@
 //! `call_codec` and `store_codec`. No other module contains names that a platform uses on the wire.
 
 mod accept_loop;
+mod answer_body;
 pub mod answer_pace;
 pub mod attempt_budget;
 mod attempt_flow;
--- a/src/relay/relay_node.rs
+++ b/src/relay/relay_node.rs
@@ -80,6 +80,8 @@
     pub calls_in_flight: AtomicUsize,
     /// Size of the request bodies that calls in flight keep in memory.
     pub buffered_body_bytes: AtomicUsize,
+    /// Size of the bodies of answers that are being read.
+    pub buffered_answer_bytes: AtomicUsize,
     member_names: ArcSwap<Vec<ids::InstanceName>>,
     replicas_loaded: AtomicBool,
     lifecycle: watch::Sender<LifecycleStage>,
@@ -112,6 +114,7 @@
             member_lease: Mutex::default(),
             calls_in_flight: AtomicUsize::new(0),
             buffered_body_bytes: AtomicUsize::new(0),
+            buffered_answer_bytes: AtomicUsize::new(0),
             member_names: ArcSwap::from_pointee(names),
             replicas_loaded: AtomicBool::new(false),
             lifecycle: watch::Sender::new(LifecycleStage::Serving),
