Keep requests without a prompt as sound while they are in wide use

Cause, found on reading the diff: a request without a prompt counts as one part, which many callers may send.

Change: sound answers of such requests are kept in a history of their own, so that the crashes must contradict them, as for the shared parts of prompts. A written entry ends a doubt on a replica's identity, but no longer discards the time of its last answer.

Evidence: a_request_in_wide_use_is_not_blamed_for_crashes_at_one_moment covers the case; no run of processes showed the fault.

--- a/src/relay/call_job.rs
+++ b/src/relay/call_job.rs
@@ -36,8 +36,7 @@
     pub cold_rate_per_s: f64,
     /// Time per token of each model of the route, as a fraction of the largest model's.
     pub model_weights: SmallVec<[f64; 4]>,
-    /// Parts to which a crash of its replica is attributed; the last one belongs to this request
-    /// alone.
+    /// Parts to which a crash of its replica is attributed, see [`Self::crash_parts`].
     pub crash_parts: SmallVec<[PromptPart; 4]>,
     /// Version of the configuration that routed the call.
     pub config_version: u64,
--- a/src/relay/crash_flow.rs
+++ b/src/relay/crash_flow.rs
@@ -80,8 +80,12 @@
         {
             let (mut suspects, now) = (self.suspects.lock(), Instant::now());
             suspects.record_sound(job.shared_crash_parts(), now);
-            if let Some(part) = job.crash_parts.last() {
-                suspects.clear_part(part.id, now);
+            match job.crash_parts.last() {
+                Some(part) if job.call.prompt_parts.is_empty() => {
+                    suspects.record_sound_request(part.id, now);
+                }
+                Some(part) => suspects.clear_part(part.id, now),
+                None => {}
             }
         }
         suspect_writer::log_quarantine_changes(self);
--- a/src/relay/replica_fleet.rs
+++ b/src/relay/replica_fleet.rs
@@ -19,7 +19,7 @@
 use super::replica_choice::{ChoiceContext, ChoiceRefusal, ChoiceRequest, ReplicaChoice};
 use super::replica_entry::{EntryState, ReplicaEntry};
 use super::replica_health::HealthOutcome;
-use super::replica_identity::{MisdirectionCause, ReplicaIdentity};
+use super::replica_identity::MisdirectionCause;
 use super::replica_notice::{AnswerNotice, NoticeChange, ReplicaNotice};
 use super::replica_row::ReplicaRow;
 use super::replica_score;
@@ -103,7 +103,7 @@
             return EntryChange::Started;
         }
         row.entry_read_at = now;
-        row.identity = ReplicaIdentity::default();
+        row.identity.end_doubt();
         row.cold_until = cold_until;
         row.suspected_cold_until = None;
         row.entry = Arc::new(entry);
--- a/src/relay/replica_identity.rs
+++ b/src/relay/replica_identity.rs
@@ -19,7 +19,7 @@
 /// Why a server refused a request as misdirected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MisdirectionCause {
-    /// The server is the expected replica, so no server of the service runs the request.
+    /// The server is the expected replica, so the request is at fault.
     Request,
     /// The address may belong to another server.
     Address,
@@ -60,6 +60,12 @@
         MisdirectionCause::Address
     }
 
+    /// Ends the doubt, as the replica has written its entry.
+    pub fn end_doubt(&mut self) {
+        self.doubted_until = None;
+        self.refusals = 0;
+    }
+
     /// Withdraws the last doubt, as the refused request was at fault.
     pub fn withdraw_doubt(&mut self) {
         self.doubted_until = None;
--- a/src/relay/suspect_table.rs
+++ b/src/relay/suspect_table.rs
@@ -101,6 +101,8 @@
     /// Parts whose trial was claimed in the store not long ago.
     held_parts: HashMap<ids::PromptPartId, Instant>,
     history: PartHistory,
+    /// The same for requests without a prompt, each of which counts as one part.
+    request_history: PartHistory,
     quarantine_changes: Vec<(ids::PromptPartId, QuarantineChange)>,
 }
 
@@ -131,7 +133,10 @@
     ) -> PartList {
         let blamed = self.blamed_parts(parts, now);
         if blamed.is_empty() {
-            parts.iter().for_each(|part| self.history.record_crash(part.id));
+            for part in parts {
+                self.history.record_crash(part.id);
+                self.request_history.record_crash(part.id);
+            }
         }
         for part in &blamed {
             let has_space = self.rows.len() < MAX_SUSPECTS || self.rows.contains_key(part);
@@ -156,8 +161,15 @@
         }
     }
 
+    /// Records that a replica began to answer a request without a prompt and did not crash. Many
+    /// callers may send the same one.
+    pub fn record_sound_request(&mut self, part: ids::PromptPartId, now: Instant) {
+        self.request_history.record_sound(part, now);
+        self.clear_part(part, now);
+    }
+
     /// Clears a part after a sound answer without keeping it as sound for later crashes, as for the
-    /// part of a single request: the history has no space for all of them.
+    /// last part of a prompt: the history has no space for all of them.
     pub fn clear_part(&mut self, part: ids::PromptPartId, now: Instant) {
         let Some(row) = self.rows.get_mut(&part).filter(|row| !row.is_sound) else { return };
         row.is_sound = true;
@@ -183,7 +195,7 @@
         if self.rows.len() >= MAX_SUSPECTS && !self.rows.contains_key(&part) {
             return;
         }
-        let was_sound_before = self.history.is_sound(part, now);
+        let was_sound_before = self.is_known_sound(part, now);
         let row = self.rows.entry(part).or_default();
         if revision < row.revision {
             return;
@@ -289,6 +301,10 @@
         self.rows.keys().filter(|part| self.is_quarantined(**part)).count()
     }
 
+    fn is_known_sound(&self, part: ids::PromptPartId, now: Instant) -> bool {
+        self.history.is_sound(part, now) || self.request_history.is_sound(part, now)
+    }
+
     fn blamed_parts(&self, parts: &[PromptPart], now: Instant) -> PartList {
         let ids: PartList = parts.iter().map(|part| part.id).collect();
         if ids.iter().any(|part| self.is_quarantined(*part)) {
@@ -297,7 +313,7 @@
         let was_sound =
             |part: &ids::PromptPartId| self.rows.get(part).is_some_and(|row| row.record.was_sound);
         let mut blamed: PartList =
-            ids.into_iter().filter(|part| !self.history.is_sound(*part, now)).collect();
+            ids.into_iter().filter(|part| !self.is_known_sound(*part, now)).collect();
         if !blamed.iter().all(was_sound) {
             blamed.retain(|part| !was_sound(part));
         }
--- a/tests/suspect_table.rs
+++ b/tests/suspect_table.rs
@@ -415,3 +415,20 @@
     table.clear_part(OTHER, now);
     assert_eq!(table.verdict(&prompt(&[OTHER]), now), PromptVerdict::Allowed);
 }
+
+/// Guards against a request that many callers send at once and that is refused after replicas crashed
+/// under it for another reason, all at the same moment.
+#[test]
+fn a_request_in_wide_use_is_not_blamed_for_crashes_at_one_moment() {
+    let now = Instant::now();
+    let mut table = SuspectTable::default();
+    table.record_sound_request(OTHER, now);
+    for replica in 1..=3 {
+        table.record_crash(&prompt(&[OTHER]), &process(replica), now);
+    }
+    assert_eq!(table.verdict(&prompt(&[OTHER]), now), PromptVerdict::Allowed);
+    for replica in 1..=3 {
+        table.record_crash(&prompt(&[DEADLY]), &process(replica), now);
+    }
+    assert!(matches!(table.verdict(&prompt(&[DEADLY]), now), PromptVerdict::Refused(..)));
+}
