Show a configuration that takes effect late after its watches were cut

Cause: a long poll that the store cuts counts as failing since its start, so the instance leaves the sound direct path at once and waits at the tunnel of a frozen peer.

--- a/review/standins-2/harness.rs
+++ b/review/standins-2/harness.rs
@@ -462,6 +462,12 @@
     events: Vec<(i64, String, Option<Item>)>,
     leases: HashMap<i64, (Duration, Instant)>,
     next_lease: i64,
+    /// Revision after which watches hear nothing at present.
+    muted_at: Option<i64>,
+    /// Number of times that waiting watches were cut.
+    cuts: u64,
+    /// Revision from which the history is still known.
+    history_start: i64,
 }
 
 impl StoreState {
@@ -512,6 +518,9 @@
     )
 }
 
+/// Status of an answer that is not given, as the connection is closed.
+const CUT: u16 = 0;
+
 /// Store of the platform, as its page describes it.
 #[derive(Clone)]
 pub struct Store {
@@ -552,6 +561,23 @@
         self.state.1.notify_all();
     }
 
+    /// Lets watches hear nothing until the history is dropped.
+    pub fn mute_watches(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        state.muted_at = Some(state.revision);
+    }
+
+    /// Drops the history and cuts the watches that wait.
+    pub fn drop_history(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        state.muted_at = None;
+        state.cuts += 1;
+        state.history_start = state.revision;
+        state.events.clear();
+        drop(state);
+        self.state.1.notify_all();
+    }
+
     pub fn remove(&self, key: &str) {
         let mut state = self.state.0.lock().unwrap();
         state.revision += 1;
@@ -574,6 +600,9 @@
         while let Ok(Some(request)) = conn.read_request() {
             thread::sleep(Duration::from_millis(2));
             let (status, body) = self.answer(&request);
+            if status == CUT {
+                return;
+            }
             let headers = "Content-Type: application/json\r\n";
             if conn.send(&answer_text(status, headers, body.as_bytes())).is_err() {
                 return;
@@ -646,14 +675,21 @@
         let wait = Duration::from_millis(request.query("waitMs").parse().unwrap_or(0));
         let end = Instant::now() + wait;
         let mut state = self.state.0.lock().unwrap();
+        let cuts = state.cuts;
         loop {
-            if after > state.revision {
+            if state.cuts != cuts {
+                return (CUT, String::new());
+            }
+            if after > state.revision || after < state.history_start {
                 return (410, "{}".to_owned());
             }
+            let heard = state.muted_at.unwrap_or(i64::MAX);
             let events: Vec<String> = state
                 .events
                 .iter()
-                .filter(|(revision, key, _)| *revision > after && key.starts_with(&prefix))
+                .filter(|(revision, key, _)| {
+                    *revision > after && *revision <= heard && key.starts_with(&prefix)
+                })
                 .map(|(revision, key, item)| match item {
                     Some(item) => item_json(key, item),
                     None => {
@@ -664,7 +700,7 @@
                 .collect();
             let now = Instant::now();
             if !events.is_empty() || now >= end {
-                let (events, revision) = (events.join(","), state.revision);
+                let (events, revision) = (events.join(","), state.revision.min(heard).max(after));
                 return (200, format!("{{\"events\":[{events}],\"currentRev\":{revision}}}"));
             }
             state = self.state.1.wait_timeout(state, end - now).unwrap().0;
@@ -806,11 +842,12 @@
     pub memory_mb: u64,
     pub max_fds: u64,
     pub first_start: bool,
+    pub zone: &'static str,
 }
 
 impl Default for EntrySettings {
     fn default() -> Self {
-        Self { memory_mb: 110, max_fds: 4_100, first_start: true }
+        Self { memory_mb: 110, max_fds: 4_100, first_start: true, zone: "evesham" }
     }
 }
 
@@ -915,10 +952,10 @@
 }
 
 fn settings_text(name: &str, host: Ipv4Addr, store: SocketAddr, changes: &EntrySettings) -> String {
-    let EntrySettings { memory_mb, max_fds, first_start } = changes;
+    let EntrySettings { memory_mb, max_fds, first_start, zone } = changes;
     format!(
         r#"{{"nodeName":"{name}","role":"entry","machineClass":"front",
-"serves":["front","control","directory"],"ip":"{host}","zone":"evesham","region":"midlands",
+"serves":["front","control","directory"],"ip":"{host}","zone":"{zone}","region":"midlands",
 "zones":{{"evesham":"midlands","pershore":"midlands"}},
 "listen":{{"front":"{host}:8227","ready":"{host}:8220","control":"{host}:8229","directory":"{host}:8224"}},
 "internalPorts":[7340,7355],"seeds":[],"firstStart":{first_start},"inTolerance":false,
