Show a key that is served after its withdrawal, as channels to the store are silent

Cause: the store may hold the poll for the configuration for 3.5 s, longer than the 2 s in which a configuration must apply, and nothing else reads it; the other calls lead to tunnels of peers that refuse.

--- a/review/standins-2/harness.rs
+++ b/review/standins-2/harness.rs
@@ -1091,3 +1091,60 @@
 pub fn kill(process: u32, signal: &str) {
     let _ = Command::new("sh").args(["-c", &format!("kill -{signal} {process}")]).status();
 }
+
+// ------------------------------------------------------------------------------------------ Links
+
+/// Loopback proxy in front of one address, whose open connections can go silent for good.
+#[derive(Clone)]
+pub struct Link {
+    pub address: SocketAddr,
+    silenced: Arc<AtomicU64>,
+}
+
+impl Link {
+    pub fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind((next_host(), 0)).expect("link address");
+        let link = Self { address: listener.local_addr().unwrap(), silenced: Arc::default() };
+        let silenced = link.silenced.clone();
+        thread::spawn(move || {
+            for caller in listener.incoming().flatten() {
+                let opened_at = silenced.load(Ordering::SeqCst);
+                let Ok(server) = TcpStream::connect(target) else { continue };
+                let _ = (caller.set_nodelay(true), server.set_nodelay(true));
+                let pairs = [(caller.try_clone(), server.try_clone()), (Ok(server), Ok(caller))];
+                for (from, to) in pairs {
+                    let (Ok(from), Ok(to)) = (from, to) else { continue };
+                    let silenced = silenced.clone();
+                    let forward = move || forward(from, to, opened_at, &silenced);
+                    let _ = thread::Builder::new().stack_size(128 * 1024).spawn(forward);
+                }
+            }
+        });
+        link
+    }
+
+    /// From now on nothing passes on the connections that are open; they are not closed. New ones work.
+    pub fn silence_open(&self) {
+        self.silenced.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+fn forward(mut from: TcpStream, mut to: TcpStream, opened_at: u64, silenced: &AtomicU64) {
+    let mut piece = [0; 16 * 1024];
+    loop {
+        let count = from.read(&mut piece).unwrap_or(0);
+        if silenced.load(Ordering::SeqCst) != opened_at {
+            // Neither bytes nor the end pass. The sockets stay open until this process ends.
+            std::mem::forget((from, to));
+            return;
+        }
+        if count == 0 {
+            let _ = to.shutdown(std::net::Shutdown::Write);
+            return;
+        }
+        if to.write_all(&piece[..count]).is_err() {
+            let _ = from.shutdown(std::net::Shutdown::Both);
+            return;
+        }
+    }
+}
