--- a/review/standins-2/refused_move.rs
+++ b/review/standins-2/refused_move.rs
@@ -13,7 +13,7 @@
 
 const STREAMS: usize = 8;
 /// The newest streams, which the replica preempts.
-const PREEMPTED: std::ops::Range<usize> = 5..8;
+const PREEMPTED: std::ops::Range<usize> = 3..8;
 const EVENTS: u32 = 12;
 const EVENT_INTERVAL: Duration = Duration::from_millis(80);
 /// Events before the pause. It is shorter than clients wait: eight times `gapAimMs` (1,200).
