Log the path to the store and each failed call

The log shows that the store was lost and returned, but neither the path that calls took in between nor which call failed after what time, so a path that was left without need cannot be told from a poll that the store held too long.

Change: event 410 store_path_changed with the paths and the cause, event 411 store_call_failed with the path, the time waited and the time for which the store could hold the call.

--- a/src/event_catalogue.rs
+++ b/src/event_catalogue.rs
@@ -77,6 +77,8 @@
     PollOverdue = 407 Info "poll_overdue" "poll of the store had no answer in time; polling again";
     StoreEraRaised = 408 Warning "store_era_raised" "store was restored from an old copy; records are read and written again";
     StoreEraSettled = 409 Info "store_era_settled" "records were written again after the store was restored";
+    StorePathChanged = 410 Info "store_path_changed" "calls to the store take another path";
+    StoreCallFailed = 411 Debug "store_call_failed" "call to the store failed";
     RequestRefused = 501 Debug "request_refused" "request refused";
     AttemptRetried = 502 Debug "attempt_retried" "attempt failed; retrying";
     RequestRelayed = 503 Info "request_relayed" "request answered by a replica";
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -108,6 +108,7 @@
 pub mod suspect_record;
 pub mod suspect_table;
 mod suspect_writer;
+mod switch_cause;
 mod trial_claim;
 pub mod version_comparison;
 pub mod version_rule;
--- a/src/relay/store_paths.rs
+++ b/src/relay/store_paths.rs
@@ -17,6 +17,8 @@
 
 use super::change_feed::{ChangeFeed, KvChanges};
 use super::era_watch::{EraWatch, MARK_KEY};
+use super::switch_cause::SwitchCause;
+use crate::event_catalogue::{self, LogEvent};
 use crate::ids;
 use crate::kv_store::{
     KvCompare, KvEntry, KvError, KvEvent, KvOutcome, KvRange, KvStore, KvTransaction,
@@ -53,6 +55,18 @@
     peers_tried: usize,
 }
 
+impl PathState {
+    /// Address of the peer whose tunnel is used.
+    fn peer_address(&self) -> Option<SocketAddr> {
+        self.current_peer.as_ref().map(|(address, _)| *address)
+    }
+}
+
+/// Value of the `path` field of log lines.
+fn path_label(peer: Option<SocketAddr>) -> String {
+    peer.map_or_else(|| "direct".to_owned(), |address| address.to_string())
+}
+
 /// Store client that fails over from the direct path to peers.
 pub struct StorePaths {
     direct: Arc<dyn ChangeFeed>,
@@ -60,6 +74,7 @@
     state: Mutex<PathState>,
     eras: Arc<EraWatch>,
     epoch: watch::Sender<PathEpoch>,
+    logger: slog::Logger,
 }
 
 impl StorePaths {
@@ -69,6 +84,7 @@
         direct: Arc<dyn ChangeFeed>,
         connector: StoreConnector,
         tunnels: Vec<SocketAddr>,
+        logger: slog::Logger,
     ) -> Self {
         let state = PathState {
             direct_failing_since: None,
@@ -82,7 +98,7 @@
         };
         let eras = direct.eras().unwrap_or_default();
         let epoch = watch::Sender::new(0);
-        Self { direct, connector, state: Mutex::new(state), eras, epoch }
+        Self { direct, connector, state: Mutex::new(state), eras, epoch, logger }
     }
 
     /// Eras of the store, over all paths.
@@ -100,7 +116,7 @@
 
     /// Peer through which calls go; `None` on the direct path.
     pub fn current_peer(&self) -> Option<SocketAddr> {
-        self.state.lock().current_peer.as_ref().map(|(address, _)| *address)
+        self.state.lock().peer_address()
     }
 
     /// Length of the last outage of all paths, if it ended after `time`.
@@ -126,28 +142,35 @@
             if self.current_peer().is_some() && self.direct.get(DIRECT_PROBE_KEY).await.is_ok() {
                 let mut state = self.state.lock();
                 state.direct_failing_since = None;
-                self.switch_path(&mut state, None);
+                self.switch_path(&mut state, None, SwitchCause::ProbeAnswered);
             }
         }
     }
 
-    fn current_path(&self) -> (Arc<dyn ChangeFeed>, PathEpoch) {
+    /// Client of the current path, the peer that it leads through, and its epoch.
+    fn current_path(&self) -> (Arc<dyn ChangeFeed>, Option<SocketAddr>, PathEpoch) {
         let state = self.state.lock();
         let store = state.current_peer.as_ref().map_or(&self.direct, |(_, store)| store);
-        (store.clone(), *self.epoch.borrow())
+        (store.clone(), state.peer_address(), *self.epoch.borrow())
     }
 
     /// Switches to the tunnel at `address`, or to the direct path.
-    fn switch_path(&self, state: &mut PathState, address: Option<SocketAddr>) {
+    fn switch_path(&self, state: &mut PathState, address: Option<SocketAddr>, cause: SwitchCause) {
+        let outage = state.outage_since.map_or(Duration::ZERO, |since| since.elapsed());
+        let fields = slog::o!(
+            "path" => path_label(address), "former" => path_label(state.peer_address()),
+            "cause" => cause.label(), "outage_ms" => outage.as_millis() as u64,
+        );
+        event_catalogue::emit(&self.logger, LogEvent::StorePathChanged, fields);
         state.current_peer = address.map(|address| (address, (self.connector)(address)));
         self.epoch.send_modify(|epoch| *epoch += 1);
     }
 
-    fn switch_to_next_peer(&self, state: &mut PathState) {
+    fn switch_to_next_peer(&self, state: &mut PathState, cause: SwitchCause) {
         let index = state.next_tunnel_index % state.tunnels.len();
         state.next_tunnel_index = index + 1;
         let address = state.tunnels[index];
-        self.switch_path(state, Some(address));
+        self.switch_path(state, Some(address), cause);
     }
 
     /// Records the outcome of a call and switches the path where its failures require it. `wait` is
@@ -193,17 +216,17 @@
                 let since = *state.direct_failing_since.get_or_insert(started);
                 if now >= since + FAILOVER_DELAY && !state.tunnels.is_empty() {
                     state.peers_tried = 1;
-                    self.switch_to_next_peer(&mut state);
+                    self.switch_to_next_peer(&mut state, SwitchCause::DirectFailed);
                 }
             }
             (false, false) if state.peers_tried < state.tunnels.len() => {
                 state.peers_tried += 1;
-                self.switch_to_next_peer(&mut state);
+                self.switch_to_next_peer(&mut state, SwitchCause::PeerFailed);
             }
             (false, false) => {
                 // Every peer failed too, so the store is probably down for all.
                 state.direct_failing_since = Some(now);
-                self.switch_path(&mut state, None);
+                self.switch_path(&mut state, None, SwitchCause::AllPeersFailed);
             }
         }
     }
@@ -216,13 +239,21 @@
         wait: Duration,
         call: impl FnOnce(Arc<dyn ChangeFeed>) -> BoxFuture<'a, Result<T, KvError>>,
     ) -> Result<T, KvError> {
-        let ((store, epoch), started) = (self.current_path(), Instant::now());
+        let ((store, peer, epoch), started) = (self.current_path(), Instant::now());
         let outcome = call(store).await;
         // Even an unreadable answer shows that the store serves this instance.
         let is_answered = matches!(outcome, Ok(_) | Err(KvError::Unreadable(_)));
         let result = if is_answered { "answered" } else { "failed" };
         metrics::counter!("yuccareel_store_calls_total", "call" => name, "outcome" => result)
             .increment(1);
+        if let Err(error) = &outcome {
+            let fields = slog::o!(
+                "call" => name, "path" => path_label(peer), "error" => error.to_string(),
+                "waited_ms" => started.elapsed().as_millis() as u64,
+                "hold_ms" => wait.as_millis() as u64,
+            );
+            event_catalogue::emit(&self.logger, LogEvent::StoreCallFailed, fields);
+        }
         self.record_outcome(is_answered, epoch, started, wait);
         outcome
     }
--- a/tests/store_paths.rs
+++ b/tests/store_paths.rs
@@ -98,7 +98,8 @@
     let peer_store = peer.clone();
     let connector = Box::new(move |_: SocketAddr| peer_store.clone() as Arc<dyn ChangeFeed>);
     let tunnels = (1..4).map(|index| SocketAddr::from(([10, 0, 0, index], 1))).collect();
-    let paths = Arc::new(StorePaths::new(direct.clone(), connector, tunnels));
+    let logger = slog::Logger::root(slog::Discard, slog::o!());
+    let paths = Arc::new(StorePaths::new(direct.clone(), connector, tunnels, logger));
     let probed_paths = paths.clone();
     tokio::spawn(async move { probed_paths.run_direct_probes().await });
     PathsHarness { direct, peer, paths }
