Count a cut poll as failing from the cut, not since it was sent

Cause: callers got 401 and 404 for routes and keys that were there, and their requests ran with withdrawn keys, 3.7 s and more after the ack of a configuration. The store may cut an open poll at any time, but a cut poll counted as a failure since it was sent. One that the store had held for more than 0.6 s made the instance leave the working direct path at once. As all instances did so together, most tunnels were refused, and the first one that accepted belonged to a frozen peer, which answered nothing until the next probe of the direct path. The same time was taken for the length of the outage, so entries that had been deleted were kept for a grace period.

Change: a poll that ends without an answer before it is due counts as failing from that moment. A path through a peer whose open polls are cut is kept until a call that was made afterwards fails too. Polls that are overdue, and all other calls, count as before. A path that does fail is still left 0.6 s after its first failure.

Result: the new test failed before ("direct path, poll held for seconds: path after the cut").

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -72,6 +72,7 @@
 pub mod pace_baseline;
 pub mod pace_evidence;
 pub mod part_history;
+mod path_evidence;
 pub mod poll_interval;
 mod port_limits;
 pub mod prefill_average;
--- a/src/relay/store_paths.rs
+++ b/src/relay/store_paths.rs
@@ -17,6 +17,7 @@
 
 use super::change_feed::{ChangeFeed, KvChanges};
 use super::era_watch::{EraWatch, MARK_KEY};
+use super::path_evidence::PathEvidence;
 use super::switch_cause::SwitchCause;
 use crate::event_catalogue::{self, LogEvent};
 use crate::ids;
@@ -40,9 +41,9 @@
 type PathEpoch = u64;
 
 struct PathState {
-    /// Start of the first failed call since the direct path last worked.
+    /// Time from which the direct path has failed since it last worked.
     direct_failing_since: Option<Instant>,
-    /// Start of the first failed call since the last answer on any path.
+    /// Time from which calls have failed since the last answer on any path.
     outage_since: Option<Instant>,
     /// Start and end of the last such outage.
     last_outage: Option<(Instant, Instant)>,
@@ -173,103 +174,101 @@
         self.switch_path(state, Some(address), cause);
     }
 
-    /// Records the outcome of a call and switches the path where its failures require it. `wait` is
-    /// the time for which the store could hold the call.
-    fn record_outcome(
-        &self,
-        is_answered: bool,
-        epoch: PathEpoch,
-        started: Instant,
-        wait: Duration,
-    ) {
+    /// Records what a call that was made at `started` shows, and switches the path where its
+    /// failures require it.
+    fn record_evidence(&self, evidence: PathEvidence, epoch: PathEpoch, started: Instant) {
         let mut state = self.state.lock();
         if epoch != *self.epoch.borrow() {
             // The path has changed since the call was made.
             return;
         }
-        let is_direct = state.current_peer.is_none();
         let now = Instant::now();
-        let is_overdue = !is_answered && !wait.is_zero() && now >= started + wait;
-        if is_overdue && state.last_answer_at.is_some_and(|answer_at| answer_at > started) {
+        match evidence {
+            PathEvidence::Answered => self.record_answer(&mut state, now),
             // The store lost this poll and answered others, so the path works.
-            return;
-        }
-        if !is_answered {
-            state.outage_since.get_or_insert(started);
-        }
-        match (is_answered, is_direct) {
-            (true, _) => {
-                if let Some(since) = state.outage_since.take() {
-                    state.last_outage = Some((since, now));
-                    if now >= since + FAILOVER_DELAY {
-                        // Long polls sent during the outage may never be answered; end them.
-                        self.epoch.send_modify(|epoch| *epoch += 1);
-                    }
-                }
-                state.last_answer_at = Some(now);
-                state.peers_tried = 0;
-                if is_direct {
-                    state.direct_failing_since = None;
-                }
+            PathEvidence::PollOverdue if state.last_answer_at.is_some_and(|at| at > started) => {}
+            PathEvidence::Failed | PathEvidence::PollOverdue => {
+                self.record_failure(&mut state, started, now);
             }
-            (false, true) => {
-                let since = *state.direct_failing_since.get_or_insert(started);
-                if now >= since + FAILOVER_DELAY && !state.tunnels.is_empty() {
-                    state.peers_tried = 1;
-                    self.switch_to_next_peer(&mut state, SwitchCause::DirectFailed);
+            PathEvidence::PollCut => {
+                let outage_since = *state.outage_since.get_or_insert(now);
+                // A tunnel that worked when the poll was sent may still work; the next call shows it.
+                if state.current_peer.is_none() || started >= outage_since {
+                    self.record_failure(&mut state, now, now);
                 }
             }
-            (false, false) if state.peers_tried < state.tunnels.len() => {
-                state.peers_tried += 1;
-                self.switch_to_next_peer(&mut state, SwitchCause::PeerFailed);
+        }
+    }
+
+    fn record_answer(&self, state: &mut PathState, now: Instant) {
+        if let Some(since) = state.outage_since.take() {
+            state.last_outage = Some((since, now));
+            if now >= since + FAILOVER_DELAY {
+                // Long polls sent during the outage may never be answered; end them.
+                self.epoch.send_modify(|epoch| *epoch += 1);
             }
-            (false, false) => {
-                // Every peer failed too, so the store is probably down for all.
-                state.direct_failing_since = Some(now);
-                self.switch_path(&mut state, None, SwitchCause::AllPeersFailed);
+        }
+        state.last_answer_at = Some(now);
+        state.peers_tried = 0;
+        if state.current_peer.is_none() {
+            state.direct_failing_since = None;
+        }
+    }
+
+    /// Records that the current path has failed since `failing_since`.
+    fn record_failure(&self, state: &mut PathState, failing_since: Instant, now: Instant) {
+        state.outage_since.get_or_insert(failing_since);
+        if state.current_peer.is_none() {
+            let since = *state.direct_failing_since.get_or_insert(failing_since);
+            if now >= since + FAILOVER_DELAY && !state.tunnels.is_empty() {
+                state.peers_tried = 1;
+                self.switch_to_next_peer(state, SwitchCause::DirectFailed);
             }
+        } else if state.peers_tried < state.tunnels.len() {
+            state.peers_tried += 1;
+            self.switch_to_next_peer(state, SwitchCause::PeerFailed);
+        } else {
+            // Every peer failed too, so the store is probably down for all.
+            state.direct_failing_since = Some(now);
+            self.switch_path(state, None, SwitchCause::AllPeersFailed);
         }
     }
 
-    /// Makes a call on the current path, which the store may hold for `wait`, and records its
-    /// outcome.
+    /// Makes a call on the current path and records its outcome. `poll_time` is the time within
+    /// which a poll must be answered; `None` for any other call.
     async fn call<'a, T>(
         &self,
         name: &'static str,
-        wait: Duration,
+        poll_time: Option<Duration>,
         call: impl FnOnce(Arc<dyn ChangeFeed>) -> BoxFuture<'a, Result<T, KvError>>,
     ) -> Result<T, KvError> {
         let ((store, peer, epoch), started) = (self.current_path(), Instant::now());
         let outcome = call(store).await;
-        // Even an unreadable answer shows that the store serves this instance.
-        let is_answered = matches!(outcome, Ok(_) | Err(KvError::Unreadable(_)));
-        let result = if is_answered { "answered" } else { "failed" };
+        let evidence = PathEvidence::new(&outcome, started.elapsed(), poll_time);
+        let result = if evidence == PathEvidence::Answered { "answered" } else { "failed" };
         metrics::counter!("yuccareel_store_calls_total", "call" => name, "outcome" => result)
             .increment(1);
         if let Err(error) = &outcome {
             let fields = slog::o!(
                 "call" => name, "path" => path_label(peer), "error" => error.to_string(),
                 "waited_ms" => started.elapsed().as_millis() as u64,
-                "hold_ms" => wait.as_millis() as u64,
+                "due_ms" => poll_time.map(|time| time.as_millis() as u64),
             );
             event_catalogue::emit(&self.logger, LogEvent::StoreCallFailed, fields);
         }
-        self.record_outcome(is_answered, epoch, started, wait);
+        self.record_evidence(evidence, epoch, started);
         outcome
     }
 }
 
 impl KvStore for StorePaths {
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<KvEntry>, KvError>> {
-        self.call("get", Duration::ZERO, move |store| async move { store.get(key).await }.boxed())
-            .boxed()
+        self.call("get", None, move |store| async move { store.get(key).await }.boxed()).boxed()
     }
 
     fn range<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<KvRange, KvError>> {
-        self.call("range", Duration::ZERO, move |store| {
-            async move { store.range(prefix).await }.boxed()
-        })
-        .boxed()
+        self.call("range", None, move |store| async move { store.range(prefix).await }.boxed())
+            .boxed()
     }
 
     fn commit(&self, transaction: KvTransaction) -> BoxFuture<'_, Result<KvOutcome, KvError>> {
@@ -278,7 +277,7 @@
             let mark = self.eras.guard(&transaction)?;
             let compare = mark.map(|mark| KvCompare::ModRevision(MARK_KEY.to_owned(), mark));
             transaction.compares.extend(compare);
-            let commit = self.call("commit", Duration::ZERO, |store| {
+            let commit = self.call("commit", None, |store| {
                 async move { store.commit(transaction).await }.boxed()
             });
             let mut outcome = commit.await?;
@@ -297,21 +296,17 @@
     }
 
     fn grant_lease(&self, ttl_s: i64) -> BoxFuture<'_, Result<ids::LeaseId, KvError>> {
-        self.call("grant", Duration::ZERO, move |store| {
-            async move { store.grant_lease(ttl_s).await }.boxed()
-        })
-        .boxed()
+        self.call("grant", None, move |store| async move { store.grant_lease(ttl_s).await }.boxed())
+            .boxed()
     }
 
     fn renew_lease(&self, lease: ids::LeaseId) -> BoxFuture<'_, Result<bool, KvError>> {
-        self.call("renew", Duration::ZERO, move |store| {
-            async move { store.renew_lease(lease).await }.boxed()
-        })
-        .boxed()
+        self.call("renew", None, move |store| async move { store.renew_lease(lease).await }.boxed())
+            .boxed()
     }
 
     fn revoke_lease(&self, lease: ids::LeaseId) -> BoxFuture<'_, Result<(), KvError>> {
-        self.call("revoke", Duration::ZERO, move |store| {
+        self.call("revoke", None, move |store| {
             async move { store.revoke_lease(lease).await }.boxed()
         })
         .boxed()
@@ -322,7 +317,7 @@
         prefix: &'a str,
         after: ids::KvRevision,
     ) -> BoxFuture<'a, Result<BoxStream<'static, Result<KvEvent, KvError>>, KvError>> {
-        self.call("watch", Duration::ZERO, move |store| {
+        self.call("watch", None, move |store| {
             async move { store.watch(prefix, after).await }.boxed()
         })
         .boxed()
@@ -342,7 +337,7 @@
         async move {
             let mut epoch_watch = self.epoch.subscribe();
             let epoch = *epoch_watch.borrow_and_update();
-            let poll = self.call("changes", wait, move |store| {
+            let poll = self.call("changes", Some(wait + answer_time), move |store| {
                 async move { store.changes(prefix, after, wait, answer_time).await }.boxed()
             });
             tokio::select! {
--- a/tests/store_paths.rs
+++ b/tests/store_paths.rs
@@ -8,6 +8,7 @@
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
 use futures::stream::BoxStream;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use yuccareel::ids;
 use yuccareel::kv_store::{KvEntry, KvError, KvEvent, KvOutcome, KvRange, KvStore, KvTransaction};
@@ -24,6 +25,8 @@
     is_up: AtomicBool,
     is_silent: AtomicBool,
     calls: AtomicU32,
+    /// Ends all open polls without an answer.
+    poll_cut: Notify,
 }
 
 impl SwitchedStore {
@@ -81,7 +84,12 @@
         let poll = self.answer(KvChanges { events: Vec::new(), revision: after });
         async move {
             let overdue = |_| Err(KvError::NoAnswer("poll is overdue".to_owned()));
-            tokio::time::timeout(wait + answer_time, poll).await.unwrap_or_else(overdue)
+            tokio::select! {
+                () = self.poll_cut.notified() => Err(KvError::NoAnswer("poll was cut".to_owned())),
+                answer = tokio::time::timeout(wait + answer_time, poll) => {
+                    answer.unwrap_or_else(overdue)
+                }
+            }
         }
         .boxed()
     }
@@ -204,6 +212,99 @@
     assert_eq!(harness.peer.calls.load(Ordering::Relaxed), 0);
 }
 
+struct CutCase {
+    name: &'static str,
+    /// Whether the store refuses this instance, so that the polls go through a peer.
+    is_refused: bool,
+    /// Time for which the polls were open.
+    held: Duration,
+    /// Whether the path still works after the cut.
+    is_path_up: bool,
+}
+
+/// Guards against an instance that leaves a working path because the store cut its open polls, as if
+/// the path had failed since they were sent: it then waits at peers that may be frozen. A
+/// configuration was once applied 4 s late for this reason. A path that does fail must be left.
+#[tokio::test(start_paused = true)]
+async fn cut_polls_do_not_count_as_failing_since_they_were_sent() {
+    let cases = [
+        CutCase {
+            name: "direct path, poll just sent",
+            is_refused: false,
+            held: Duration::from_millis(100),
+            is_path_up: true,
+        },
+        CutCase {
+            name: "direct path, poll held for seconds",
+            is_refused: false,
+            held: Duration::from_secs(5),
+            is_path_up: true,
+        },
+        CutCase {
+            name: "direct path, cut after the hold",
+            is_refused: false,
+            held: POLL_WAIT + ANSWER_TIME / 2,
+            is_path_up: true,
+        },
+        CutCase {
+            name: "path through a peer",
+            is_refused: true,
+            held: Duration::from_secs(5),
+            is_path_up: true,
+        },
+        CutCase {
+            name: "direct path that fails",
+            is_refused: false,
+            held: Duration::from_secs(5),
+            is_path_up: false,
+        },
+        CutCase {
+            name: "path through a peer that fails",
+            is_refused: true,
+            held: Duration::from_secs(5),
+            is_path_up: false,
+        },
+    ];
+    for CutCase { name, is_refused, held, is_path_up } in cases {
+        let harness = harness();
+        let PathsHarness { direct, peer, paths } = &harness;
+        let used = if is_refused { peer } else { direct };
+        used.is_up.store(true, Ordering::Relaxed);
+        wait_for_answer(paths, Duration::from_secs(1)).await;
+        let (path_before, sent_at) = (paths.current_peer(), Instant::now());
+        assert_eq!(path_before.is_some(), is_refused, "{name}");
+        used.is_silent.store(true, Ordering::Relaxed);
+        let polls: Vec<_> = ["o/", "r/"]
+            .map(|prefix| {
+                let paths = paths.clone();
+                tokio::spawn(async move { paths.changes(prefix, 0, POLL_WAIT, ANSWER_TIME).await })
+            })
+            .into();
+        tokio::time::sleep(held).await;
+        used.is_silent.store(false, Ordering::Relaxed);
+        used.is_up.store(is_path_up, Ordering::Relaxed);
+        used.poll_cut.notify_waiters();
+        for poll in polls {
+            assert!(poll.await.unwrap().is_err(), "{name}");
+        }
+        assert_eq!(paths.current_peer(), path_before, "{name}: path after the cut");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        if is_path_up {
+            assert!(paths.range("o/").await.is_ok(), "{name}");
+            assert_eq!(paths.current_peer(), path_before, "{name}: path after an answer");
+            let outage = paths.outage_ended_after(sent_at).unwrap();
+            assert!(outage <= Duration::from_millis(300), "{name}: outage of {outage:?}");
+        } else {
+            let failed_at = Instant::now();
+            while paths.current_peer() == path_before {
+                assert!(failed_at.elapsed() < Duration::from_secs(1), "{name}: path is kept");
+                assert!(paths.range("o/").await.is_err(), "{name}");
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        }
+    }
+}
+
 struct ReturnCase {
     name: &'static str,
     /// Time for which calls fail.
