Do not let the store hold the poll after a failed one

The store cut the open polls while the hold of some was just over. Such a poll is repeated at once, and the store held the new one for 3.5 s as well, although it no longer had the changes since its revision; it said so (410) at the end of the hold only. A frozen peer, to which calls have been switched, does not answer a held poll either.

Polls that were repeated 0.2 s later got the 410 within 10 ms.

Change: while the last poll of a scope has failed, the next one asks not to be held, on any path. Its answer shows what was missed; held polls follow. If it fails too, the usual pause follows.

--- a/src/relay/store_mirror.rs
+++ b/src/relay/store_mirror.rs
@@ -197,7 +197,13 @@
     async fn poll_store(&mut self) -> Result<(), KvError> {
         let node = self.node.clone();
         let after = node.feeds.log(self.scope).lock().revision();
-        let hold = self.scope.store_hold(&node.settings.bounds, self.has_readers);
+        // What a failed poll missed must be answered at once: the store may hold another poll although
+        // it has lost the changes, and a peer may never answer it.
+        let hold = if self.failing_since.is_some() {
+            Duration::ZERO
+        } else {
+            self.scope.store_hold(&node.settings.bounds, self.has_readers)
+        };
         let polled_at = Instant::now();
         let answer_time = self.scope.store_answer_time(&node.settings.bounds);
         let poll = node.store.changes(&self.prefix, after, hold, answer_time);
@@ -210,7 +216,7 @@
         let waited = polled_at.elapsed();
         let changes = match changes {
             // The next poll follows without a pause, as this one has waited for long enough.
-            Err(error @ KvError::NoAnswer(_)) if waited >= hold => {
+            Err(error @ KvError::NoAnswer(_)) if !hold.is_zero() && waited >= hold => {
                 let fields = slog::o!(
                     "scope" => self.scope.label(), "hold_ms" => hold.as_millis() as u64,
                     "waited_ms" => waited.as_millis() as u64, "revision" => after,
