Describe polls without a hold and the events of paths where readers look

Cause: the choice of the hold stood as a block within poll_store, and the head of the module and the pages did not say that the poll after a failed one is not held.

No behaviour changes.

--- a/src/relay/path_evidence.rs
+++ b/src/relay/path_evidence.rs
@@ -11,10 +11,10 @@
     Answered,
     /// The call failed, so the path may have failed since it was made.
     Failed,
-    /// An open poll ended without an answer that was due. By its protocol the store may end polls at
-    /// any time, so the path may have worked until then.
+    /// A poll ended before its answer was due. The store may cut polls at any time, so the path may
+    /// have worked until then.
     PollCut,
-    /// The answer to a poll did not come although its time has passed.
+    /// A poll had no answer when it was due.
     PollOverdue,
 }
 
--- a/src/relay/store_mirror.rs
+++ b/src/relay/store_mirror.rs
@@ -2,8 +2,9 @@
 //!
 //! Each mirror reads its prefix once and then polls for the changes since the last revision, from
 //! the store or from the reader of its data centre (see `shared_feed`). After a failed poll it
-//! resumes from that revision; if the store no longer has those changes, or they are too large for one
-//! answer, it reads the whole prefix again. The copies stay in use in the meantime.
+//! resumes from that revision, with a poll that the store does not hold; if the store no longer has
+//! those changes, or they are too large for one answer, it reads the whole prefix again. The copies
+//! stay in use in the meantime.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -193,17 +194,21 @@
         Ok(())
     }
 
+    /// Time for which the store may hold the next poll.
+    fn next_hold(&self) -> Duration {
+        if self.failing_since.is_some() {
+            // A hold would hide what was missed: the store may hold a poll although it has lost the
+            // changes since the revision, and a frozen peer never passes it on.
+            return Duration::ZERO;
+        }
+        self.scope.store_hold(&self.node.settings.bounds, self.has_readers)
+    }
+
     /// Waits for changes in the store and applies them.
     async fn poll_store(&mut self) -> Result<(), KvError> {
         let node = self.node.clone();
         let after = node.feeds.log(self.scope).lock().revision();
-        // What a failed poll missed must be answered at once: the store may hold another poll although
-        // it has lost the changes, and a peer may never answer it.
-        let hold = if self.failing_since.is_some() {
-            Duration::ZERO
-        } else {
-            self.scope.store_hold(&node.settings.bounds, self.has_readers)
-        };
+        let hold = self.next_hold();
         let polled_at = Instant::now();
         let answer_time = self.scope.store_answer_time(&node.settings.bounds);
         let poll = node.store.changes(&self.prefix, after, hold, answer_time);
