Wait for the listed faulty services in the test of cut heads

The test waits until as many replicas are listed, with a report, as it has put into the instance list. The list of the fixture before has as many, so the wait could end before the new list was read, and the call went to a service that the test had removed.

Change: the wait asks for the faulty services by name as well. All other checks stay.

Result: with a pause of 2 s after the start of the fixture, which lets the former list be read, the test failed before ("booking, cut after 0 bytes, 0 runs: 200") and passes now. Without it, 16 runs beside eight busy processes passed before.

--- a/tests/cut_service_heads.rs
+++ b/tests/cut_service_heads.rs
@@ -111,7 +111,11 @@
         path.wait(|node| {
             let replicas = node.replicas.load();
             let rows = || replicas.rows().iter().filter(|row| !row.name.starts_with('e'));
-            rows().count() == listed && rows().all(|row| row.report.is_some())
+            // The former list may have as many replicas.
+            let faulty = rows().filter(|row| row.name.starts_with("cut-")).count();
+            faulty == addresses.len()
+                && rows().count() == listed
+                && rows().all(|row| row.report.is_some())
         })
         .await;
         let (client, url) = (reqwest::Client::new(), path.url("/hire/bookings"));
