--- a/review/standins-3/lab.rs
+++ b/review/standins-3/lab.rs
@@ -406,8 +406,8 @@
 }
 
 impl StoreState {
+    /// Writes a key at the present revision; the caller counts it up once for each call.
     fn put(&mut self, key: &str, value: &str, lease: i64) {
-        self.revision += 1;
         let revision = self.revision;
         let created = self.items.get(key).map_or(revision, |item| item.created);
         let item = Item { value: value.to_owned(), revision, created, lease };
@@ -417,7 +417,6 @@
 
     fn delete(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
-            self.revision += 1;
             let event = Event { key: key.to_owned(), revision: self.revision, item: None };
             self.events.push(event);
         }
@@ -430,6 +429,7 @@
             .filter(|(_, item)| item.lease == lease)
             .map(|(key, _)| key.clone())
             .collect();
+        self.revision += i64::from(!keys.is_empty());
         keys.iter().for_each(|key| self.delete(key));
         self.leases.remove(&lease).is_some()
     }
@@ -500,13 +500,21 @@
     /// Writes as the operator or a replica does.
     pub fn put(&self, key: &str, value: &str) {
         let (state, changed) = &*self.state;
-        state.lock().unwrap().put(key, &base64(value.as_bytes()), 0);
+        {
+            let mut state = state.lock().unwrap();
+            state.revision += 1;
+            state.put(key, &base64(value.as_bytes()), 0);
+        }
         changed.notify_all();
     }
 
     pub fn delete(&self, key: &str) {
         let (state, changed) = &*self.state;
-        state.lock().unwrap().delete(key);
+        {
+            let mut state = state.lock().unwrap();
+            state.revision += 1;
+            state.delete(key);
+        }
         changed.notify_all();
     }
 
@@ -662,6 +670,7 @@
                 let current: Vec<_> = current.collect();
                 return (412, format!("{{\"items\":[{}]}}", current.join(",")));
             }
+            state.revision += 1;
             for put in body.get("puts").list() {
                 let lease = put.get("lease").number();
                 state.put(put.get("key").text(), put.get("value").text(), lease);
@@ -903,10 +912,13 @@
         self.child.try_wait().unwrap().is_some()
     }
 
-    /// Kills the process and starts it again, as the platform does, with the settings at that time.
-    pub fn kill_and_start(&mut self) {
+    pub fn kill(&mut self) {
         self.signal("KILL");
         let _ = self.child.wait();
+    }
+
+    /// Starts a killed process again, as the platform does, with the settings at that time.
+    pub fn start_again(&mut self) {
         let text = std::fs::read_to_string(&self.settings).unwrap();
         let text = text.replace("\"firstStart\":true", "\"firstStart\":false");
         std::fs::write(&self.settings, text).unwrap();
